--- /dev/null
+++ b/cmd/limpetrelay/serve.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+
+	"github.com/limpetrelay/limpetrelay/dispatch"
+	"github.com/limpetrelay/limpetrelay/entry"
+	"github.com/limpetrelay/limpetrelay/fault"
+	"github.com/limpetrelay/limpetrelay/settings"
+)
+
+// serveCommand returns `limpetrelay serve`.
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "serve",
+		Usage:     "run an entry host",
+		ArgsUsage: " ",
+		Description: "Runs until TERM or an interrupt, then drains: it refuses new requests, answers the\n" +
+			"open ones and hands its role over before it leaves.\n\n" +
+			"Example: limpetrelay serve --settings host.toml",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Required: true, Usage: "TOML file"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, problems := settings.Load(c.String("settings"))
+			if err := report(problems); err != nil {
+				return err
+			}
+			return serve(ctx, &s)
+		},
+	}
+}
+
+// report prints problems and returns an error when there are any.
+func report(problems []settings.Problem) error {
+	for _, p := range problems {
+		fmt.Fprintln(os.Stderr, p)
+	}
+	if len(problems) == 0 {
+		return nil
+	}
+	return fault.Newf(fault.Invalid, "correct all of them and try again", "the settings have %d problems", len(problems))
+}
+
+// serve runs an entry host with checked settings.
+func serve(ctx context.Context, s *settings.Settings) error {
+	h := &entry.Host{Settings: entry.Settings{
+		Settings: dispatch.Settings{
+			Host: s.Host, DataCentre: s.DataCentre, Incarnation: uuid.NewString(),
+			HeartbeatEvery: s.Timings.Heartbeat.Milliseconds(),
+			TaskLease:      s.Timings.TaskLease.Milliseconds(),
+			GangLease:      s.Timings.GangLease.Milliseconds(),
+			SmallLease:     s.Timings.SmallLease.Milliseconds(),
+			PlacerTimeout:  s.Timings.PlacerTimeout.Milliseconds(),
+			GoneAfter:      s.Timings.GoneAfter.Milliseconds(),
+			BatchRecords:   s.Limits.BatchRecords,
+		},
+		SnapshotRecords: uint64(max(0, s.Limits.SnapshotRecords)),
+		SnapshotEvery:   time.Duration(s.Timings.SnapshotEvery),
+		Logger:          newLogger(s.LogLevel),
+	}}
+	h.Seams = entry.NetworkSeams(s.Platform, func(purpose string, sent, received int) {
+		h.Metrics.Count("bytesSent", purpose, "", int64(sent))
+		h.Metrics.Count("bytesReceived", purpose, "", int64(received))
+	})
+	h.Logger.Info("serving", "listen", s.Listen, "peerListen", s.PeerListen, "region", s.Region)
+	return h.Serve(ctx, entry.Addresses{Callers: s.Listen, Peers: s.PeerListen})
+}
+
+// newLogger returns a logger of JSON lines on standard error.
+func newLogger(level string) *slog.Logger {
+	var l slog.Level
+	if level != "" {
+		if err := l.UnmarshalText([]byte(level)); err != nil {
+			l = slog.LevelInfo
+		}
+	}
+	return slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: l}))
+}
+
+// exitCode returns the documented exit code of an error.
+func exitCode(err error) int {
+	switch fault.KindOf(err) {
+	case fault.Invalid, fault.TooLarge:
+		return 2
+	case fault.Conflict, fault.KeyReused:
+		return 3
+	case fault.NotFound:
+		return 4
+	case fault.Unavailable, fault.Draining, fault.Overloaded:
+		return 5
+	case fault.Unknown:
+		return 6
+	default:
+		return 1
+	}
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,129 @@
+// Command standin plays the platform and a number of workers on loopback, for
+// tests and for a developer's machine.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+
+	"github.com/limpetrelay/limpetrelay/platform"
+	"github.com/limpetrelay/limpetrelay/standin"
+	"github.com/limpetrelay/limpetrelay/upstream"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	app := &cli.Command{
+		Name:  "standin",
+		Usage: "play the platform or a worker on loopback",
+		Commands: []*cli.Command{
+			platformCommand(), workerCommand(),
+		},
+	}
+	if err := app.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// platformCommand returns the command that plays the platform.
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "play the log service and the list of hosts",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:7000", Usage: "IP number and port"},
+			&cli.DurationFlag{Name: "retention", Usage: "how long the log keeps entries; 0 for ever"},
+			&cli.DurationFlag{Name: "lag", Usage: "lag of the list of hosts"},
+			&cli.IntFlag{Name: "rate", Usage: "appends per second; 0 for no bound"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			log := &standin.Log{Retention: c.Duration("retention"), Rate: c.Int("rate")}
+			dir := &standin.Directory{Lag: c.Duration("lag")}
+			mux := http.NewServeMux()
+			platform.Register(mux, log.Platform(), dir.Platform())
+			mux.HandleFunc("POST /hosts", func(w http.ResponseWriter, r *http.Request) {
+				var h platform.Host
+				if err := json.NewDecoder(r.Body).Decode(&h); err != nil {
+					http.Error(w, err.Error(), http.StatusBadRequest)
+					return
+				}
+				dir.Set(h)
+			})
+			mux.HandleFunc("DELETE /hosts/{name}", func(_ http.ResponseWriter, r *http.Request) {
+				dir.Remove(r.PathValue("name"))
+			})
+			mux.HandleFunc("POST /faults", func(w http.ResponseWriter, r *http.Request) {
+				var f standin.LogFaults
+				if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+					http.Error(w, err.Error(), http.StatusBadRequest)
+					return
+				}
+				log.SetFaults(f)
+			})
+			return serve(ctx, c.String("listen"), mux)
+		},
+	}
+}
+
+// workerCommand returns the command that plays a worker.
+func workerCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "worker",
+		Usage: "play a worker that runs simulated tasks",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:7100", Usage: "IP number and port"},
+			&cli.StringFlag{Name: "name", Required: true, Usage: "name of the worker"},
+			&cli.StringFlag{Name: "data-centre", Required: true, Usage: "data centre of the worker"},
+			&cli.StringFlag{Name: "rack", Value: "r1", Usage: "rack of the worker"},
+			&cli.IntFlag{Name: "slots", Value: 8, Usage: "number of slots: 1, 2, 4 or 8"},
+			&cli.BoolFlag{Name: "plain", Usage: "the worker has no accelerators"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			w := &standin.Worker{
+				Name: c.String("name"), DataCentre: c.String("data-centre"), Rack: c.String("rack"),
+				Slots: c.Int("slots"), Plain: c.Bool("plain"), Incarnation: uuid.NewString(),
+			}
+			mux := http.NewServeMux()
+			upstream.Register(mux, w.Upstream())
+			mux.HandleFunc("GET /history", func(rw http.ResponseWriter, _ *http.Request) {
+				_ = json.NewEncoder(rw).Encode(w.History())
+			})
+			mux.HandleFunc("POST /faults", func(rw http.ResponseWriter, r *http.Request) {
+				var f standin.WorkerFaults
+				if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+					http.Error(rw, err.Error(), http.StatusBadRequest)
+					return
+				}
+				w.SetFaults(f)
+			})
+			return serve(ctx, c.String("listen"), mux)
+		},
+	}
+}
+
+// serve serves mux until ctx ends.
+func serve(ctx context.Context, address string, mux http.Handler) error {
+	const headerTimeout = 5 * time.Second
+	s := &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: headerTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- s.ListenAndServe() }()
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "listen")
+	case <-ctx.Done():
+		return errors.Wrap(s.Close(), "close")
+	}
+}
+
--- /dev/null
+++ b/config/patch.go
@@ -0,0 +1,223 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"github.com/limpetrelay/limpetrelay/fault"
+	"github.com/limpetrelay/limpetrelay/job"
+	"github.com/limpetrelay/limpetrelay/rack"
+)
+
+const (
+	// MaxChanges bounds the changes in one patch.
+	MaxChanges = 256
+	// MaxPatch is the largest accepted patch, in bytes.
+	MaxPatch = 256 << 10
+	// maxPriority bounds Class.Priority in both directions.
+	maxPriority = 100
+	// maxWeight bounds each policy weight.
+	maxWeight = 1e6
+)
+
+// Patch is a list of changes against one version.
+type Patch struct {
+	// Base is the version that the patch was written against.
+	Base uint64 `cbor:"b" json:"base"`
+	// Author names the operator.
+	Author string `cbor:"a" json:"author"`
+	// Changes has at least one element and at most MaxChanges.
+	Changes []Change `cbor:"c" json:"changes"`
+}
+
+// Change is one edit. Exactly one field is set.
+type Change struct {
+	SetOrganisation    *NamedOrganisation `cbor:"so,omitempty" json:"setOrganisation,omitempty"`
+	RemoveOrganisation string             `cbor:"ro,omitempty" json:"removeOrganisation,omitempty"`
+	SetClass           *NamedClass        `cbor:"sc,omitempty" json:"setClass,omitempty"`
+	RemoveClass        string             `cbor:"rc,omitempty" json:"removeClass,omitempty"`
+	SetPolicy          *Policy            `cbor:"sp,omitempty" json:"setPolicy,omitempty"`
+}
+
+// NamedOrganisation is an organisation with its name.
+type NamedOrganisation struct {
+	Name string `cbor:"n" json:"name"`
+	Organisation
+}
+
+// NamedClass is a class with its name.
+type NamedClass struct {
+	Name string `cbor:"n" json:"name"`
+	Class
+}
+
+// ParsePatch reads a patch from JSON and refuses unknown fields and trailing
+// data.
+func ParsePatch(r io.Reader) (*Patch, error) {
+	b, err := io.ReadAll(io.LimitReader(r, MaxPatch+1))
+	if err != nil {
+		return nil, fault.Newf(fault.Invalid, "send the patch again", "cannot read the patch: %v", err)
+	}
+	if len(b) > MaxPatch {
+		return nil, fault.Newf(fault.TooLarge, "split the patch", "the patch exceeds %d bytes", MaxPatch)
+	}
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	p := &Patch{}
+	if err := d.Decode(p); err != nil {
+		return nil, fault.Newf(fault.Invalid, "compare it with the examples of `limpetrelay config patch --help`",
+			"malformed patch: %v", err)
+	}
+	if d.More() {
+		return nil, fault.New(fault.Invalid, "data follows the patch", "send one JSON object")
+	}
+	return p, p.Validate()
+}
+
+// Validate returns an Invalid error when p is malformed whatever it is applied
+// to.
+func (p *Patch) Validate() error {
+	if err := job.CheckName("author", p.Author); err != nil {
+		return err
+	}
+	if len(p.Changes) == 0 || len(p.Changes) > MaxChanges {
+		return fault.Newf(fault.Invalid, fmt.Sprintf("send 1 to %d", MaxChanges), "the patch has %d changes", len(p.Changes))
+	}
+	for i := range p.Changes {
+		if err := p.Changes[i].validate(); err != nil {
+			e := fault.As(err)
+			return fault.Newf(e.Kind, e.Remedy, "change %d: %s", i+1, e.Message)
+		}
+	}
+	return nil
+}
+
+// Apply returns the configuration that p yields. It returns a Conflict error
+// when p names another base version, and never changes c.
+func (c *Config) Apply(p *Patch) (Config, error) {
+	if p.Base != c.Version {
+		return Config{}, fault.Newf(fault.Conflict,
+			fmt.Sprintf("review version %d and write the patch against it", c.Version),
+			"the patch is against version %d and the current version is %d", p.Base, c.Version)
+	}
+	if err := p.Validate(); err != nil {
+		return Config{}, err
+	}
+	d := c.Clone()
+	for i := range p.Changes {
+		if err := d.change(&p.Changes[i]); err != nil {
+			return Config{}, err
+		}
+	}
+	d.Version++
+	return d, nil
+}
+
+// validate checks that exactly one field of ch is set, and its content.
+func (ch *Change) validate() error {
+	set := 0
+	for _, is := range []bool{
+		ch.SetOrganisation != nil, ch.RemoveOrganisation != "",
+		ch.SetClass != nil, ch.RemoveClass != "", ch.SetPolicy != nil,
+	} {
+		if is {
+			set++
+		}
+	}
+	if set != 1 {
+		return fault.Newf(fault.Invalid, "set exactly one field per change", "%d fields are set", set)
+	}
+	switch {
+	case ch.SetOrganisation != nil:
+		return ch.SetOrganisation.validate()
+	case ch.SetClass != nil:
+		return ch.SetClass.validate()
+	case ch.SetPolicy != nil:
+		return ch.SetPolicy.validate()
+	}
+	return nil
+}
+
+// validate checks the name and every guaranteed shape.
+func (o *NamedOrganisation) validate() error {
+	if err := job.CheckName("organisation", o.Name); err != nil {
+		return err
+	}
+	if o.MaxQueued < 0 {
+		return fault.Newf(fault.Invalid, "set it to 0 or more", "maxQueued is %d", o.MaxQueued)
+	}
+	for _, dc := range slices.Sorted(maps.Keys(o.Guarantee)) {
+		if err := job.CheckName("data centre", dc); err != nil {
+			return err
+		}
+		if err := o.Guarantee[dc].Validate(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// validate checks the name and the priority.
+func (cl *NamedClass) validate() error {
+	if cl.Priority < -maxPriority || cl.Priority > maxPriority {
+		return fault.Newf(fault.Invalid, fmt.Sprintf("set it to -%d to %d", maxPriority, maxPriority),
+			"the priority is %d", cl.Priority)
+	}
+	return job.CheckName("class", cl.Name)
+}
+
+// validate checks the weights and the age.
+func (p *Policy) validate() error {
+	for _, w := range []float64{p.CompletionWeight, p.FragmentationWeight} {
+		if !(w >= 0 && w <= maxWeight) {
+			return fault.Newf(fault.Invalid, fmt.Sprintf("set it to 0 to %g", float64(maxWeight)), "a weight is %g", w)
+		}
+	}
+	if p.GangAge < 0 || p.GangAge > job.MaxRunTime.Milliseconds() {
+		return fault.Newf(fault.Invalid, "give milliseconds up to 30 days", "gangAge is %d", p.GangAge)
+	}
+	return nil
+}
+
+// change applies one validated edit to c in place.
+func (c *Config) change(ch *Change) error {
+	if c.Organisations == nil {
+		c.Organisations = map[string]Organisation{}
+	}
+	switch {
+	case ch.SetOrganisation != nil:
+		o := ch.SetOrganisation.Organisation
+		o.Guarantee = withoutZero(o.Guarantee)
+		c.Organisations[ch.SetOrganisation.Name] = o
+	case ch.RemoveOrganisation != "":
+		if _, ok := c.Organisations[ch.RemoveOrganisation]; !ok {
+			return fault.Newf(fault.NotFound, "see `limpetrelay config show`", "there is no organisation %q", ch.RemoveOrganisation)
+		}
+		delete(c.Organisations, ch.RemoveOrganisation)
+	case ch.SetClass != nil:
+		c.Classes[ch.SetClass.Name] = ch.SetClass.Class
+	case ch.RemoveClass != "":
+		if _, ok := c.Classes[ch.RemoveClass]; !ok {
+			return fault.Newf(fault.NotFound, "see `limpetrelay config show`", "there is no class %q", ch.RemoveClass)
+		}
+		delete(c.Classes, ch.RemoveClass)
+	case ch.SetPolicy != nil:
+		c.Policy = *ch.SetPolicy
+	}
+	return nil
+}
+
+// withoutZero returns a copy of g without empty shapes.
+func withoutZero(g map[string]rack.Shape) map[string]rack.Shape {
+	h := map[string]rack.Shape{}
+	for dc, s := range g {
+		if !s.IsZero() {
+			h[dc] = s
+		}
+	}
+	return h
+}
--- /dev/null
+++ b/dispatch/event.go
@@ -0,0 +1,141 @@
+package dispatch
+
+import (
+	"github.com/limpetrelay/limpetrelay/config"
+	"github.com/limpetrelay/limpetrelay/job"
+	"github.com/limpetrelay/limpetrelay/ledger"
+	"github.com/limpetrelay/limpetrelay/platform"
+	"github.com/limpetrelay/limpetrelay/upstream"
+)
+
+// Event is one input of the reducer. At most one pointer is set; an event with
+// none only moves the time.
+type Event struct {
+	// Now is the driver's monotonic clock, in milliseconds. It never goes back.
+	Now int64
+	// Wall is the driver's wall clock, in Unix milliseconds.
+	Wall int64
+
+	Tail      *Tail
+	Restored  *Restored
+	Appended  *Appended
+	Submit    *Submit
+	Wait      *Wait
+	Cancel    *Cancel
+	Patch     *Patch
+	Abandon   *Abandon
+	Heartbeat *HeartbeatDone
+	Member    *MemberDone
+	Small     *SmallDone
+	Hosts     *Hosts
+	Drain     *Drain
+}
+
+// Tail brings entries of the log, from the log itself or from a peer.
+type Tail struct {
+	Page platform.Page
+	// Err is set when the read failed.
+	Err error
+	// Peer is set when a peer answered, or was asked and failed.
+	Peer *PeerView
+}
+
+// PeerView is what a peer said of itself.
+type PeerView struct {
+	Name string
+	// OK is set when the peer answered.
+	OK      bool
+	Placer  bool
+	Leaving bool
+	Term    uint64
+	// LogAge is in milliseconds.
+	LogAge int64
+}
+
+// Restored replaces the ledger by a newer one from a snapshot.
+type Restored struct {
+	Ledger *ledger.Ledger
+}
+
+// Appended is the result of an append.
+type Appended struct {
+	Err error
+}
+
+// Submit is a caller's job.
+type Submit struct {
+	// Waiter identifies the reply.
+	Waiter string
+	Spec   job.Spec
+	// Wait is how long the caller waits for the end, in milliseconds; 0 asks
+	// for the job's ID only.
+	Wait int64
+}
+
+// Wait asks for a job's state.
+type Wait struct {
+	Waiter string
+	// Job is the job's ID, or empty to look up Organisation and Key.
+	Job          string
+	Organisation string
+	Key          string
+	// Wait is how long to wait for the end, in milliseconds.
+	Wait int64
+}
+
+// Cancel asks for the end of a job.
+type Cancel struct {
+	Waiter string
+	Job    string
+	By     string
+}
+
+// Patch is an operator's patch.
+type Patch struct {
+	Waiter string
+	Patch  config.Patch
+	// DryRun only checks.
+	DryRun bool
+}
+
+// Abandon tells that a caller went away.
+type Abandon struct {
+	Waiter string
+}
+
+// HeartbeatDone is the result of a Heartbeat effect.
+type HeartbeatDone struct {
+	Worker string
+	// Sent is when the heartbeat was sent, on the clock of Event.Now.
+	Sent int64
+	// Renewed lists the tasks that the heartbeat renewed.
+	Renewed []string
+	Report  upstream.Report
+	Err     error
+}
+
+// MemberDone is the result of a Member effect.
+type MemberDone struct {
+	MemberCall
+	Report upstream.TaskReport
+	Err    error
+}
+
+// SmallDone is the result of a Small effect.
+type SmallDone struct {
+	Task   string
+	Worker string
+	// Sent is when the call was sent, on the clock of Event.Now.
+	Sent   int64
+	Report upstream.RunReport
+	Err    error
+}
+
+// Hosts brings the platform's list of hosts.
+type Hosts struct {
+	Hosts []platform.Host
+	Err   error
+}
+
+// Drain starts the shutdown.
+type Drain struct{}
--- /dev/null
+++ b/dispatch/fleet.go
@@ -0,0 +1,297 @@
+package dispatch
+
+import (
+	"slices"
+
+	"github.com/limpetrelay/limpetrelay/platform"
+	"github.com/limpetrelay/limpetrelay/rack"
+	"github.com/limpetrelay/limpetrelay/record"
+	"github.com/limpetrelay/limpetrelay/upstream"
+)
+
+const (
+	// ejectAfter is the number of distinct jobs in a row that fail on a worker
+	// before it is ejected.
+	ejectAfter = 3
+	// maxCooloff is the number of times that the cool-off doubles.
+	maxCooloff = 4
+)
+
+// fleet is this host's own view of the workers and hosts of its data centre.
+type fleet struct {
+	// views is keyed by worker.
+	views map[string]*workerView
+	// hosts is the platform's list, keyed by name. It lags.
+	hosts map[string]platform.Host
+	// listed is set once a list has been seen.
+	listed bool
+}
+
+// workerView is what this host knows of a worker.
+type workerView struct {
+	// report is the last report. Its Tasks are not kept up.
+	report upstream.Report
+	// complete is set once tasks holds everything that the worker knows.
+	complete bool
+	// tasks is keyed by task. Ended small tasks are left out.
+	tasks map[string]upstream.TaskReport
+	// heard is the time at which the last answered heartbeat was sent.
+	heard int64
+	// first is when the worker was first seen or tried.
+	first int64
+	// sentAt is when the last heartbeat was sent, and inFlight whether it is
+	// unanswered.
+	sentAt   int64
+	inFlight bool
+	// recorded is set while a record about the worker is on its way.
+	recorded bool
+	// ejections counts them, and ejectedUntil is the end of the last one.
+	ejections    int
+	ejectedUntil int64
+	// forget lists ended tasks whose end is in the log.
+	forget []string
+	// small is the view of the small path.
+	small smallView
+}
+
+// onHosts takes the platform's list.
+func (s *State) onHosts(e *Hosts) {
+	if e.Err != nil {
+		return
+	}
+	s.hosts = map[string]platform.Host{}
+	for _, h := range e.Hosts {
+		if h.DataCentre == s.DataCentre {
+			s.hosts[h.Name] = h
+		}
+	}
+	s.listed = true
+}
+
+// view returns the view of a worker.
+func (s *State) view(name string) *workerView {
+	v := s.views[name]
+	if v == nil {
+		v = &workerView{tasks: map[string]upstream.TaskReport{}, first: s.now, heard: -1}
+		s.views[name] = v
+	}
+	return v
+}
+
+// WorkerAddress returns where a worker listens, or nothing when it is not known.
+func (s *State) WorkerAddress(name string) string { return s.address(name) }
+
+// address returns where a worker listens, from the list or else the log.
+func (s *State) address(name string) string {
+	if h, ok := s.hosts[name]; ok && h.Kind == platform.KindWorker {
+		return h.Address
+	}
+	if w := s.Ledger.Workers[name]; w != nil {
+		return w.Address
+	}
+	return ""
+}
+
+// workerNames returns the workers of the data centre in the list or the log.
+func (s *State) workerNames() []string {
+	names := s.Ledger.WorkerNames(s.DataCentre)
+	for _, n := range sortedKeys(s.hosts) {
+		if s.hosts[n].Kind == platform.KindWorker {
+			names = append(names, n)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// beat sends the heartbeats that are due.
+func (s *State) beat() {
+	for _, n := range s.workerNames() {
+		v := s.view(n)
+		if v.inFlight || v.sentAt != 0 && s.now-v.sentAt < s.HeartbeatEvery {
+			continue
+		}
+		v.inFlight, v.sentAt = true, s.now
+		h := upstream.Heartbeat{Term: s.term(), Seen: v.report.Revision, Renew: s.renewals(n), Forget: v.forget}
+		v.forget = nil
+		s.emit(Effect{Heartbeat: &HeartbeatCall{Worker: n, Address: s.address(n), Heartbeat: h}})
+	}
+}
+
+// onHeartbeat takes a worker's report.
+func (s *State) onHeartbeat(e *HeartbeatDone) {
+	v := s.view(e.Worker)
+	v.inFlight = false
+	if !s.leading {
+		return
+	}
+	if e.Err == nil {
+		s.onReport(v, e)
+	}
+	s.recordWorker(e.Worker, v)
+	s.evaluateAll(e.Worker)
+}
+
+// onReport merges a report into the view.
+func (s *State) onReport(v *workerView, e *HeartbeatDone) {
+	r := e.Report
+	v.complete = true
+	if v.report.Incarnation != r.Incarnation {
+		v.tasks = map[string]upstream.TaskReport{}
+		if v.report.Revision != 0 {
+			// The report left out tasks by the old incarnation's revision.
+			r.Revision, v.complete = 0, false
+		}
+	}
+	v.heard = max(v.heard, e.Sent)
+	for _, t := range r.Tasks {
+		if t.Small && t.State == upstream.Ended {
+			delete(v.tasks, t.Task)
+			continue
+		}
+		v.tasks[t.Task] = t
+	}
+	r.Tasks = nil
+	v.report = r
+	for _, t := range e.Renewed {
+		s.renewed(t, e.Sent)
+	}
+}
+
+// silent returns how long a worker has not answered, in milliseconds.
+func (v *workerView) silent(now int64) int64 {
+	return now - max(v.heard, v.first)
+}
+
+// recordWorker writes a record when the log's view of a worker is wrong.
+func (s *State) recordWorker(name string, v *workerView) {
+	if v.recorded || s.caretaker {
+		return
+	}
+	want, ok := s.wantWorker(name, v)
+	if !ok {
+		return
+	}
+	if w := s.Ledger.Workers[name]; w != nil {
+		was := w.Worker
+		was.Term = want.Term
+		if was == want {
+			return
+		}
+	}
+	v.recorded = true
+	s.write(record.Record{Worker: &want})
+}
+
+// wantWorker returns what the log should say of a worker. It returns false
+// when nothing is known.
+func (s *State) wantWorker(name string, v *workerView) (record.Worker, bool) {
+	known := s.Ledger.Workers[name]
+	var w record.Worker
+	switch {
+	case v.heard >= 0:
+		w = record.Worker{
+			Name: name, DataCentre: s.DataCentre, Rack: v.report.Rack, Slots: v.report.Slots,
+			Accelerated: v.report.Accelerated, Incarnation: v.report.Incarnation,
+		}
+	case known != nil:
+		w = known.Worker
+	default:
+		return w, false
+	}
+	w.Address, w.Term, w.State = s.address(name), s.term(), record.Live
+	h, listed := s.hosts[name]
+	switch {
+	case v.silent(s.now) > s.GoneAfter:
+		w.State = record.Gone
+	case v.heard < 0:
+		w.State = known.State
+	case v.report.Leaving || listed && h.Leaving:
+		w.State = record.Leaving
+	case s.ejected(v, known != nil && known.Incarnation == w.Incarnation, name):
+		w.State = record.Ejected
+	}
+	return w, true
+}
+
+// ejected reports whether a worker is out for failing what it starts. After a
+// cool-off, which doubles each time, it comes back on trial: its failures stay
+// counted until a job succeeds there.
+func (s *State) ejected(v *workerView, same bool, name string) bool {
+	if s.now < v.ejectedUntil {
+		return true
+	}
+	if !same {
+		return false
+	}
+	failed := len(s.Ledger.Workers[name].FailedJobs)
+	if failed == 0 {
+		v.ejections = 0
+	}
+	if failed < ejectAfter+v.ejections {
+		return false
+	}
+	v.ejectedUntil = s.now + s.Cooloff<<min(v.ejections, maxCooloff)
+	v.ejections++
+	return true
+}
+
+// onTrial reports whether a live worker has failures that no success has
+// cleared since its ejection.
+func (s *State) onTrial(name string) bool {
+	w := s.Ledger.Workers[name]
+	return w != nil && len(w.FailedJobs) >= ejectAfter
+}
+
+// onWorkerRecord notes that a record about a worker has arrived.
+func (s *State) onWorkerRecord(w *record.Worker) {
+	if v := s.views[w.Name]; v != nil {
+		v.recorded = false
+	}
+}
+
+// usable returns the free slots of a worker for new places: live in the log,
+// heard of lately, and not held by a placed job or a small request.
+func (s *State) usable(name string) rack.Mask {
+	w := s.Ledger.Workers[name]
+	if w == nil || w.State != record.Live {
+		return 0
+	}
+	v := s.view(name)
+	if v.heard < 0 || v.silent(s.now) > 3*s.HeartbeatEvery || v.report.Leaving || v.report.Incarnation != w.Incarnation {
+		return 0
+	}
+	if h, ok := s.hosts[name]; ok && h.Leaving {
+		return 0
+	}
+	return rack.FullMask(w.Slots)
+}
+
+// smallMask returns the slots of a worker that small requests hold.
+func (v *workerView) smallMask() rack.Mask {
+	var m rack.Mask
+	for _, t := range v.tasks {
+		if t.Small && t.State != upstream.Ended {
+			m |= t.Mask
+		}
+	}
+	return m
+}
+
+// Fragmentation returns, per cell level, the share of free slots in the data
+// centre that cells of that level cannot use.
+func (s *State) Fragmentation() map[string]float64 {
+	var f rack.Forest
+	plan := s.Ledger.Plan(s.DataCentre)
+	for _, n := range s.Ledger.WorkerNames(s.DataCentre) {
+		if w := s.Ledger.Workers[n]; w.Accelerated && w.State == record.Live {
+			f.Add(rack.Node{Name: n, Rack: w.Rack, Slots: w.Slots, Used: plan.Taken(n)})
+		}
+	}
+	free := f.Free()
+	m := map[string]float64{}
+	for l := rack.LevelSlot; l < rack.NumLevels; l++ {
+		m[l.String()] = free.Fragmentation(l)
+	}
+	return m
+}
--- /dev/null
+++ b/dispatch/placer.go
@@ -0,0 +1,195 @@
+package dispatch
+
+import (
+	"github.com/limpetrelay/limpetrelay/ledger"
+	"github.com/limpetrelay/limpetrelay/platform"
+	"github.com/limpetrelay/limpetrelay/record"
+	"github.com/limpetrelay/limpetrelay/upstream"
+)
+
+// rankStep is the extra time, in milliseconds, that each further host waits
+// before it claims the placer role, so that claims seldom race.
+const rankStep = 300
+
+// placer is the state of the placer role.
+type placer struct {
+	// leading is set while this host drives the data centre's jobs: as placer,
+	// or as caretaker.
+	leading bool
+	// caretaker is set while the host leads without the term, because the
+	// placer is silent and the claim has not been decided. A caretaker renews
+	// leases and stops broken gangs; it places nothing.
+	caretaker bool
+	// claiming is set while this host's claim is on its way.
+	claiming bool
+	// placerHeard is when the placer last answered.
+	placerHeard int64
+	// placerLeaving is set when the placer said that it is draining.
+	placerLeaving bool
+	// watchSince is when this host began to judge the placer's silence.
+	watchSince int64
+	// drives is keyed by job.
+	drives map[string]*drive
+	// holds is keyed by job: cells kept free for it.
+	holds map[string]*hold
+	// scheduledAt is when places were last chosen, and dirty is set when
+	// something has changed since.
+	scheduledAt int64
+	dirty       bool
+}
+
+// term returns the data centre's current term.
+func (s *State) term() uint64 { return s.Ledger.Terms[s.DataCentre].Term }
+
+// Term returns the data centre's current term.
+func (s *State) Term() uint64 { return s.term() }
+
+// PeerAddress returns where an entry host of the data centre listens, or
+// nothing when it is not listed.
+func (s *State) PeerAddress(name string) string {
+	if h := s.hosts[name]; h.Kind == platform.KindEntry {
+		return h.Address
+	}
+	return ""
+}
+
+// PlacerName returns the host that holds the placer role in the log.
+func (s *State) PlacerName() string { return s.Ledger.Terms[s.DataCentre].Host }
+
+// onPeer takes what a peer said of itself.
+func (s *State) onPeer(p *PeerView) {
+	if !p.OK || p.Name != s.PlacerName() {
+		return
+	}
+	if p.Leaving {
+		s.placerLeaving = true
+		return
+	}
+	// A placer that has lost the log cannot place; others may replace it.
+	if p.Placer && (p.LogAge < s.PlacerTimeout || s.logDown) {
+		s.placerHeard = s.now
+	}
+}
+
+// lead claims the placer role when it is vacant and drives it when held.
+func (s *State) lead() {
+	if s.watchSince == 0 {
+		s.watchSince = s.now
+	}
+	t := s.Ledger.Terms[s.DataCentre]
+	mine := t.Incarnation == s.Incarnation && t.Term != 0
+	switch {
+	case s.Stuck != "" || s.draining && !mine:
+		s.stopLeading()
+		return
+	case mine:
+		s.startLeading(false)
+	case s.vacant(t):
+		s.claim(t.Term + 1)
+	}
+	if !s.leading {
+		return
+	}
+	s.beat()
+	s.driveAll()
+	if !s.caretaker && !s.draining {
+		s.schedule()
+	}
+}
+
+// vacant reports whether the placer has been silent for longer than its
+// timeout, and this host's turn has come.
+func (s *State) vacant(t ledger.Term) bool {
+	if !s.Ready || s.draining || s.claiming {
+		return false
+	}
+	if s.placerLeaving {
+		return true
+	}
+	wait := s.rank(t.Host) * rankStep
+	if t.Term != 0 {
+		wait += s.PlacerTimeout
+	}
+	return s.now-max(s.placerHeard, s.watchSince) > wait
+}
+
+// rank returns this host's place among the entry hosts of its data centre,
+// the silent placer left out.
+func (s *State) rank(silent string) int64 {
+	var r int64
+	for n, h := range s.hosts {
+		if h.Kind == platform.KindEntry && !h.Leaving && n != silent && n < s.Host {
+			r++
+		}
+	}
+	return r
+}
+
+// claim writes a claim for the given term and leads as caretaker meanwhile.
+func (s *State) claim(term uint64) {
+	s.claiming = true
+	s.write(record.Record{Claim: &record.Claim{DataCentre: s.DataCentre, Term: term}})
+	s.startLeading(true)
+}
+
+// onClaim takes the verdict on a claim for any data centre.
+func (s *State) onClaim(r *record.Record, v ledger.Verdict) {
+	if r.Claim.DataCentre != s.DataCentre {
+		return
+	}
+	mine := r.Incarnation == s.Incarnation
+	if mine {
+		s.claiming = false
+	}
+	if v.Err != nil {
+		if mine && s.caretaker {
+			s.stopLeading()
+		}
+		return
+	}
+	s.placerHeard, s.placerLeaving, s.watchSince = s.now, false, s.now
+	if !mine {
+		s.stopLeading()
+	}
+}
+
+// startLeading takes the placed jobs of the data centre over. Their state is
+// unknown until their workers have reported.
+func (s *State) startLeading(caretaker bool) {
+	if s.leading {
+		if s.caretaker && !caretaker {
+			s.caretaker, s.dirty = false, true
+		}
+		return
+	}
+	s.leading, s.caretaker, s.dirty = true, caretaker, true
+	for n, v := range s.views {
+		s.views[n] = &workerView{tasks: map[string]upstream.TaskReport{}, first: s.now, heard: -1, small: v.small}
+	}
+	for _, id := range sortedKeys(s.Ledger.Jobs) {
+		if j := s.Ledger.Jobs[id]; j.State == ledger.Placed && j.DataCentre == s.DataCentre {
+			s.drives[id] = newDrive(j, phaseRecover, s.now)
+		}
+	}
+}
+
+// stopLeading drops everything that belongs to the role.
+func (s *State) stopLeading() {
+	if !s.leading {
+		return
+	}
+	s.leading, s.caretaker = false, false
+	clear(s.drives)
+	clear(s.holds)
+}
+
+// othersPresent reports whether another entry host of the data centre is
+// listed.
+func (s *State) othersPresent() bool {
+	for n, h := range s.hosts {
+		if h.Kind == platform.KindEntry && !h.Leaving && n != s.Host {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/dispatch/schedule.go
@@ -0,0 +1,395 @@
+package dispatch
+
+import (
+	"github.com/limpetrelay/limpetrelay/config"
+	"github.com/limpetrelay/limpetrelay/ledger"
+	"github.com/limpetrelay/limpetrelay/policy"
+	"github.com/limpetrelay/limpetrelay/rack"
+	"github.com/limpetrelay/limpetrelay/record"
+	"github.com/limpetrelay/limpetrelay/upstream"
+)
+
+const (
+	// scheduleEvery bounds how often places are chosen anew while nothing has
+	// changed, in milliseconds.
+	scheduleEvery = 250
+	// holdPatience bounds how long cells are held for a reclaiming job, in
+	// milliseconds.
+	holdPatience = 30_000
+	// runTimeQuantile of the observed run times is expected of a waiting job.
+	runTimeQuantile = 0.75
+	// leastObserved is the number of run times from which they are trusted
+	// more than the declared one.
+	leastObserved = 8
+)
+
+// hold keeps cells free for a job.
+type hold struct {
+	org      string
+	cells    []rack.Cell
+	abstract []rack.Cell
+	since    int64
+	// placing is set while the Place record is on its way.
+	placing bool
+	// aged is set for the reservation of an aged gang, which waits for its
+	// cells without stopping anyone.
+	aged bool
+}
+
+// planning is one round of choosing places.
+type planning struct {
+	plan    *ledger.Plan
+	policy  policy.Policy
+	weights policy.Weights
+	// free holds the accelerated workers and plain the others; slots that
+	// cannot be used now are used.
+	free, plain rack.Forest
+	// reclaimable is free with the borrowers' slots free.
+	reclaimable rack.Forest
+}
+
+// schedule chooses places for waiting jobs.
+func (s *State) schedule() {
+	if !s.dirty && s.now-s.scheduledAt < scheduleEvery {
+		return
+	}
+	s.dirty, s.scheduledAt = false, s.now
+	queue := s.candidates()
+	if len(queue) == 0 {
+		return
+	}
+	r := s.newPlanning()
+	for i := range queue {
+		queue[i].Guaranteed = r.covered(&queue[i])
+	}
+	r.policy.Order(queue, r.weights)
+	for i := range queue {
+		if !s.place(r, &queue[i]) && r.policy.Strict {
+			return
+		}
+	}
+}
+
+// candidates returns the waiting jobs of the data centre.
+func (s *State) candidates() []policy.Candidate {
+	var q []policy.Candidate
+	for _, id := range sortedKeys(s.Ledger.Jobs) {
+		j := s.Ledger.Jobs[id]
+		if j.State != ledger.Queued || j.DataCentre != s.DataCentre || j.Cancelled != "" {
+			continue
+		}
+		if h := s.holds[id]; h != nil && h.placing {
+			continue
+		}
+		need, err := j.Spec.Need()
+		if err != nil {
+			continue
+		}
+		class := s.Ledger.Config.Classes[j.Spec.Class]
+		q = append(q, policy.Candidate{
+			Job: id, Organisation: j.Spec.Organisation, Class: j.Spec.Class, Need: need,
+			Urgent: j.Spec.Urgent || class.Urgent, Priority: class.Priority,
+			Waited: max(0, s.wall-j.AcceptedTime), Expected: s.expected(j), Accepted: j.Accepted,
+		})
+	}
+	return q
+}
+
+// expected returns the expected run time of a job: what its organisation and
+// class were observed to take, or else what it declares.
+func (s *State) expected(j *ledger.Job) int64 {
+	k := ledger.LearnedKey(j.Spec.Organisation, j.Spec.Class)
+	if ms, ok := s.Ledger.Learned[k].Quantile(runTimeQuantile, leastObserved); ok {
+		return ms
+	}
+	return j.Spec.RunTime
+}
+
+// newPlanning returns a round with the holds taken into account.
+func (s *State) newPlanning() *planning {
+	p := s.Ledger.Config.Policy
+	r := &planning{
+		plan: s.Ledger.Plan(s.DataCentre), policy: s.Policy.Resolve(),
+		weights: policy.Weights{Completion: p.CompletionWeight, Fragmentation: p.FragmentationWeight},
+	}
+	held := map[string]rack.Mask{}
+	for _, id := range sortedKeys(s.holds) {
+		h := s.holds[id]
+		if h.placing {
+			r.plan.Take(h.org, h.cells, h.abstract)
+		}
+		for _, c := range h.cells {
+			held[c.Node] |= c.Mask
+		}
+	}
+	for _, n := range s.Ledger.WorkerNames(s.DataCentre) {
+		s.addNode(r, n, held[n])
+	}
+	return r
+}
+
+// addNode enters a worker into the forests of a round.
+func (s *State) addNode(r *planning, name string, held rack.Mask) {
+	usable := s.usable(name)
+	if usable == 0 {
+		return
+	}
+	w := s.Ledger.Workers[name]
+	busy := r.plan.Taken(name) | held | s.view(name).smallMask()
+	if s.onTrial(name) && r.plan.Taken(name) != 0 {
+		busy = rack.FullMask(w.Slots)
+	}
+	n := rack.Node{Name: name, Rack: w.Rack, Slots: w.Slots, Used: busy & rack.FullMask(w.Slots)}
+	if !w.Accelerated {
+		r.plain.Add(n)
+		return
+	}
+	r.free.Add(n)
+	n.Used = (r.plan.Fixed(name) | held) & rack.FullMask(w.Slots)
+	if s.onTrial(name) {
+		n.Used = rack.FullMask(w.Slots)
+	}
+	r.reclaimable.Add(n)
+}
+
+// covered reports whether the unused guarantee of c's organisation covers it.
+func (r *planning) covered(c *policy.Candidate) bool {
+	_, ok := r.plan.Guarantee(c.Organisation, c.Need)
+	return ok
+}
+
+// place places one candidate, or holds cells for it. It reports whether the
+// candidate is being placed.
+func (s *State) place(r *planning, c *policy.Candidate) bool {
+	j := s.Ledger.Jobs[c.Job]
+	if h := s.holds[c.Job]; h != nil {
+		return s.placeHeld(r, j, h)
+	}
+	if abstract, ok := r.plan.Guarantee(c.Organisation, c.Need); ok {
+		if s.placeGuaranteed(r, c, j, abstract) {
+			return true
+		}
+	}
+	if s.placeFree(r, c, j) {
+		return true
+	}
+	if !r.policy.NoGangHold && c.Need.Members > 1 && c.Waited > s.gangAge() {
+		s.holdAged(r, c)
+	}
+	return false
+}
+
+// gangAge returns the wait after which a gang gets a reservation, in
+// milliseconds.
+func (s *State) gangAge() int64 {
+	if a := s.Ledger.Config.Policy.GangAge; a > 0 {
+		return a
+	}
+	return config.DefaultGangAge
+}
+
+// placeHeld places a job on the cells that were held for it, once they are
+// free.
+func (s *State) placeHeld(r *planning, j *ledger.Job, h *hold) bool {
+	for _, c := range h.cells {
+		if s.usable(c.Node)&c.Mask != c.Mask {
+			delete(s.holds, j.ID)
+			s.dirty = true
+			return false
+		}
+	}
+	for _, c := range h.cells {
+		if r.plan.Taken(c.Node)&c.Mask != 0 {
+			if s.now-h.since > holdPatience && !h.aged {
+				delete(s.holds, j.ID)
+			}
+			return false
+		}
+	}
+	if len(h.abstract) > 0 && !r.plan.Keeps(h.org, h.cells, h.abstract) {
+		delete(s.holds, j.ID)
+		s.dirty = true
+		return false
+	}
+	s.writePlace(r, j, h.cells, h.abstract)
+	return true
+}
+
+// placeGuaranteed places a job within its organisation's guarantee: on free
+// cells, or by reclaiming cells from borrowers.
+func (s *State) placeGuaranteed(r *planning, c *policy.Candidate, j *ledger.Job, abstract []rack.Cell) bool {
+	rank := r.policy.Rank(c, r.weights)
+	if cells, ok := r.free.Place(c.Need, rank); ok && r.plan.Keeps(c.Organisation, cells, abstract) {
+		s.writePlace(r, j, cells, abstract)
+		return true
+	}
+	for _, rank := range []rack.Rank{s.cheapest(r), rack.BestFit} {
+		cells, ok := r.reclaimable.Place(c.Need, rank)
+		if ok && r.plan.Keeps(c.Organisation, cells, abstract) {
+			s.reclaim(r, c, cells, abstract)
+			return true
+		}
+	}
+	return false
+}
+
+// placeFree places a job as a borrower on free cells.
+func (s *State) placeFree(r *planning, c *policy.Candidate, j *ledger.Job) bool {
+	rank := r.policy.Rank(c, r.weights)
+	if j.Spec.Accelerators == 0 {
+		if cells, ok := r.plain.Place(c.Need, rank); ok && s.trialAllows(j, cells) {
+			s.writePlace(r, j, cells, nil)
+			return true
+		}
+	}
+	cells, ok := r.free.Place(c.Need, rank)
+	if !ok || !s.trialAllows(j, cells) {
+		return false
+	}
+	s.writePlace(r, j, cells, nil)
+	return true
+}
+
+// trialAllows reports whether j may run on cells: workers on trial take only
+// repeatable single jobs.
+func (s *State) trialAllows(j *ledger.Job, cells []rack.Cell) bool {
+	if !j.Spec.Once && len(cells) == 1 {
+		return true
+	}
+	for _, c := range cells {
+		if s.onTrial(c.Node) {
+			return false
+		}
+	}
+	return true
+}
+
+// writePlace records a place and marks its cells in the round.
+func (s *State) writePlace(r *planning, j *ledger.Job, cells, abstract []rack.Cell) {
+	p := &record.Place{
+		Job: j.ID, Attempt: j.Attempt + 1, Term: s.term(),
+		Guaranteed: len(abstract) > 0, Abstract: abstract,
+	}
+	for _, c := range cells {
+		p.Members = append(p.Members, record.Member{
+			Worker: c.Node, Incarnation: s.Ledger.Workers[c.Node].Incarnation, Mask: c.Mask,
+		})
+	}
+	s.holds[j.ID] = &hold{org: j.Spec.Organisation, cells: cells, abstract: abstract, since: s.now, placing: true}
+	r.plan.Take(j.Spec.Organisation, cells, abstract)
+	r.use(cells)
+	s.write(record.Record{Place: p})
+}
+
+// use marks cells as used in the forests of the round.
+func (r *planning) use(cells []rack.Cell) {
+	for _, f := range []*rack.Forest{&r.free, &r.plain, &r.reclaimable} {
+		for _, c := range cells {
+			if n := f.Node(c.Node); n != nil {
+				n.Used |= c.Mask
+			}
+		}
+	}
+}
+
+// reclaim stops the borrowers on cells and holds the cells for c.
+func (s *State) reclaim(r *planning, c *policy.Candidate, cells, abstract []rack.Cell) {
+	s.holds[c.Job] = &hold{org: c.Organisation, cells: cells, abstract: abstract, since: s.now}
+	r.plan.Take(c.Organisation, nil, abstract)
+	r.use(cells)
+	for _, id := range sortedKeys(s.drives) {
+		d := s.drives[id]
+		j := s.Ledger.Jobs[id]
+		if j == nil || j.Guaranteed || !overlaps(j.Members, cells) {
+			continue
+		}
+		s.observe(j.Spec.Organisation, j.Spec.Class, "reclaimed", 1)
+		s.stopDrive(d, "its cells were reclaimed for the guarantee of "+c.Organisation)
+	}
+	s.dirty = true
+}
+
+// overlaps reports whether any member holds slots of cells.
+func overlaps(ms []record.Member, cells []rack.Cell) bool {
+	for _, m := range ms {
+		for _, c := range cells {
+			if m.Worker == c.Node && m.Mask&c.Mask != 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// cheapest ranks nodes by the work, in seconds, that would be lost by stopping
+// the borrowers on them, and then by best fit.
+func (s *State) cheapest(r *planning) rack.Rank {
+	lost := map[string]int64{}
+	for _, id := range sortedKeys(s.drives) {
+		d := s.drives[id]
+		j := s.Ledger.Jobs[id]
+		if j == nil || j.Guaranteed {
+			continue
+		}
+		cost := (s.now-d.placedAt)/1000*int64(len(j.Members)) + 1
+		if j.Spec.Once {
+			// A once-only job cannot be repeated, so it is stopped last.
+			cost += 1 << 20
+		}
+		for _, m := range j.Members {
+			lost[m.Worker] += cost
+		}
+	}
+	return func(n *rack.Node, broken rack.Level) int {
+		if r.free.Node(n.Name) == nil {
+			return 1 << 30
+		}
+		return int(min(lost[n.Name], 1<<24))*rack.NumLevels + int(broken)
+	}
+}
+
+// holdAged reserves cells for the oldest aged gang, one at a time. The cells
+// are chosen as if borrowers and running jobs had gone, preferring free ones,
+// and the gang waits for them to become free.
+func (s *State) holdAged(r *planning, c *policy.Candidate) {
+	for _, h := range s.holds {
+		if h.aged {
+			return
+		}
+	}
+	all := r.reclaimable.Clone()
+	for i := range all.Nodes {
+		all.Nodes[i].Used &^= r.plan.Fixed(all.Nodes[i].Name)
+	}
+	cells, ok := all.Place(c.Need, s.soonest(r))
+	if !ok {
+		return
+	}
+	s.holds[c.Job] = &hold{org: c.Organisation, cells: cells, since: s.now, aged: true}
+	r.use(cells)
+}
+
+// soonest ranks nodes by when their jobs are expected to have ended.
+func (s *State) soonest(r *planning) rack.Rank {
+	until := map[string]int64{}
+	for _, id := range sortedKeys(s.drives) {
+		d := s.drives[id]
+		j := s.Ledger.Jobs[id]
+		if j == nil {
+			continue
+		}
+		left := max(0, s.expected(j)-(s.now-d.placedAt)) / 1000
+		for _, m := range j.Members {
+			until[m.Worker] = max(until[m.Worker], left+1)
+		}
+	}
+	return func(n *rack.Node, broken rack.Level) int {
+		if r.free.Node(n.Name) == nil {
+			return 1 << 30
+		}
+		return int(min(until[n.Name], 1<<24))*rack.NumLevels + int(broken)
+	}
+}
+
+// smallEnded reports whether a small task's report is final.
+func smallEnded(r *upstream.TaskReport) bool { return r.State == upstream.Ended }
--- /dev/null
+++ b/dispatch/small.go
@@ -0,0 +1,362 @@
+package dispatch
+
+import (
+	"fmt"
+
+	"github.com/limpetrelay/limpetrelay/fault"
+	"github.com/limpetrelay/limpetrelay/job"
+	"github.com/limpetrelay/limpetrelay/ledger"
+	"github.com/limpetrelay/limpetrelay/rack"
+	"github.com/limpetrelay/limpetrelay/record"
+	"github.com/limpetrelay/limpetrelay/upstream"
+)
+
+const (
+	// maxSmalls bounds the small requests of a host.
+	maxSmalls = 4096
+	// smallWait is how long one call follows a small task, in milliseconds. A
+	// connection that stays silent longer is closed and the task's fate is
+	// asked for on a new one.
+	smallWait = 2000
+	// smallFailures is the number of workers on which a small request may fail.
+	smallFailures = 2
+	// avoidFor is how long a worker that refused or failed is avoided, in
+	// milliseconds.
+	avoidFor = 500
+	// avoidLeaving is how long a worker that could not be reached is avoided, in
+	// milliseconds.
+	avoidLeaving = 3000
+	// waitStep is how long a request that found no worker waits before it looks
+	// again, in milliseconds.
+	waitStep = 50
+	// viewFresh is how long a worker's number of free slots is trusted, in
+	// milliseconds.
+	viewFresh = 1000
+)
+
+// smalls is the state of the small path: single repeatable requests that go
+// straight to a worker, without the log and without the placer.
+type smalls struct {
+	// tasks is keyed by task.
+	tasks map[string]*small
+	count uint64
+	// waiting lists, oldest first, the tasks that found no worker.
+	waiting []string
+}
+
+// smallView is what the small path knows of a worker.
+type smallView struct {
+	free       int
+	at         int64
+	avoidUntil int64
+	inFlight   int
+	// failures counts failed tasks since the last success.
+	failures int
+}
+
+// small is one small request.
+type small struct {
+	Submit
+	task string
+	need rack.Need
+	// began is when the request arrived.
+	began       int64
+	deadline    int64
+	tries       int
+	failed      int
+	lastFailure string
+	// worker is empty while the request waits for one.
+	worker      string
+	incarnation string
+	// heard is when the last answered call was sent.
+	heard int64
+	// started is set once the worker has said that the task ran.
+	started bool
+	// ran is set once any try may have run, so that "not run" is never said.
+	ran bool
+	// unsure is set while a call's answer is lost.
+	unsure bool
+	// askAt is when to ask again after an error.
+	askAt int64
+}
+
+// startSmall takes a small request.
+func (s *State) startSmall(e *Submit) {
+	if len(s.smalls.tasks) >= maxSmalls {
+		s.refuse(e.Waiter, fault.New(fault.Overloaded, "nothing was done: too many small requests are open", "submit it again later"))
+		return
+	}
+	need, err := e.Spec.Need()
+	if err != nil {
+		s.refuse(e.Waiter, err)
+		return
+	}
+	s.budget.Deposit()
+	m := &small{Submit: *e, need: need, began: s.now, deadline: s.now + e.Wait}
+	s.tryWorker(m)
+}
+
+// tryWorker sends the request to a worker, or lets it wait for one. Each try
+// has a task name of its own.
+func (s *State) tryWorker(m *small) {
+	delete(s.smalls.tasks, m.task)
+	s.smalls.count++
+	m.task = fmt.Sprintf("s-%s-%d", s.Incarnation, s.smalls.count)
+	m.worker, m.unsure, m.started = "", false, false
+	s.smalls.tasks[m.task] = m
+	w := s.chooseWorker(m)
+	if w == nil {
+		s.letWait(m)
+		return
+	}
+	m.tries++
+	m.worker, m.incarnation, m.heard = w.Name, w.Incarnation, s.now
+	v := s.view(w.Name)
+	v.small.inFlight++
+	s.observe(m.Spec.Organisation, m.Spec.Class, "smallTries", 1)
+	s.emit(Effect{Small: &SmallCall{Worker: w.Name, Address: s.address(w.Name), Run: &upstream.Run{
+		Wait: smallWait,
+		Order: upstream.Order{
+			Task: m.task, Organisation: m.Spec.Organisation, Class: m.Spec.Class, Level: m.need.Level,
+			Accelerated: m.Spec.Accelerators > 0, Incarnation: w.Incarnation, Lease: s.SmallLease,
+			Payload: m.Spec.Payload,
+		},
+	}}})
+}
+
+// chooseWorker returns the better of two random workers that may have room
+// (the power of two choices, Mitzenmacher 2001), or nil.
+func (s *State) chooseWorker(m *small) *ledger.Worker {
+	var best *ledger.Worker
+	bestFree, seen := 0, 0
+	names := s.Ledger.WorkerNames(s.DataCentre)
+	if len(names) == 0 {
+		return nil
+	}
+	start := s.rand.IntN(len(names))
+	for i := range names {
+		w := s.Ledger.Workers[names[(start+i)%len(names)]]
+		free, ok := s.smallRoom(w, m)
+		if !ok {
+			continue
+		}
+		if seen++; best == nil || free > bestFree {
+			best, bestFree = w, free
+		}
+		if seen == 2 {
+			break
+		}
+	}
+	return best
+}
+
+// smallRoom returns how many slots a worker is believed to have free for m.
+func (s *State) smallRoom(w *ledger.Worker, m *small) (int, bool) {
+	if w.State != record.Live || m.Spec.Accelerators > 0 && !w.Accelerated {
+		return 0, false
+	}
+	if h, ok := s.hosts[w.Name]; ok && h.Leaving {
+		return 0, false
+	}
+	v := &s.view(w.Name).small
+	if s.now < v.avoidUntil {
+		return 0, false
+	}
+	free := w.Slots
+	if s.now-v.at < viewFresh && v.at != 0 {
+		free = v.free
+	}
+	free -= v.inFlight
+	return free, free >= m.need.Level.Slots()
+}
+
+// onSmall takes the result of a call.
+func (s *State) onSmall(e *SmallDone) {
+	v := &s.view(e.Worker).small
+	m := s.smalls.tasks[e.Task]
+	if e.Err == nil || fault.KindOf(e.Err) == fault.Refused {
+		v.free, v.at = e.Report.Free, s.now
+	}
+	if m == nil || m.worker != e.Worker {
+		return
+	}
+	if e.Err != nil {
+		s.onSmallError(m, v, e)
+		return
+	}
+	m.unsure, m.heard = false, max(m.heard, e.Sent)
+	m.ran = m.ran || e.Report.End != upstream.NeverStarted
+	if !smallEnded(&e.Report.TaskReport) {
+		m.started = true
+		s.await(m)
+		return
+	}
+	v.inFlight--
+	s.onSmallEnd(m, v, &e.Report)
+}
+
+// onSmallError tells a refusal, after which the task never runs, from a lost
+// answer, after which its fate has to be asked for.
+func (s *State) onSmallError(m *small, v *smallView, e *SmallDone) {
+	first := !m.started && !m.unsure
+	if first && fault.NothingDone(e.Err) {
+		v.inFlight--
+		v.avoidUntil = s.now + avoidFor
+		if fault.KindOf(e.Err) == fault.Unavailable {
+			v.avoidUntil = s.now + avoidLeaving
+		}
+		s.retrySmall(m)
+		return
+	}
+	m.unsure = true
+	v.avoidUntil = s.now + avoidLeaving
+	if s.now-m.heard > s.SmallLease+leaseMargin || fault.KindOf(e.Err) == fault.Refused {
+		// The lease has lapsed, or the worker has restarted: the task is over.
+		m.ran = true
+		v.inFlight--
+		s.retrySmall(m)
+		return
+	}
+	m.askAt = s.now + callAgain
+}
+
+// onSmallEnd takes a final report.
+func (s *State) onSmallEnd(m *small, v *smallView, r *upstream.RunReport) {
+	switch r.End {
+	case upstream.Completed:
+		v.failures = 0
+		o := job.Outcome{Result: job.Completed, Answers: []job.Answer{{Task: r.Task, Worker: m.worker, Size: r.Size, Sum: r.Sum}}}
+		s.observe(m.Spec.Organisation, m.Spec.Class, "queueTime", max(0, s.now-m.began-r.RunTime))
+		s.observe(m.Spec.Organisation, m.Spec.Class, "runTime", r.RunTime)
+		s.endSmall(m, Reply{Outcome: &o, Output: r.Output})
+	case upstream.Failed:
+		v.failures++
+		v.avoidUntil = s.now + avoidFor<<min(v.failures, 7)
+		m.failed++
+		m.lastFailure = r.Message
+		if m.failed < smallFailures && s.budget.Withdraw() {
+			s.tryWorker(m)
+			return
+		}
+		o := job.Ended(job.Failed, fault.Refused, "the task failed: "+r.Message, "correct the job and submit it again")
+		s.endSmall(m, Reply{Outcome: &o})
+	default:
+		s.retrySmall(m)
+	}
+}
+
+// retrySmall tries another worker when the retry budget allows it, and lets
+// the request wait otherwise.
+func (s *State) retrySmall(m *small) {
+	if s.budget.Withdraw() {
+		s.tryWorker(m)
+		return
+	}
+	m.worker, m.unsure, m.started = "", false, false
+	s.letWait(m)
+}
+
+// letWait queues a request that has no worker.
+func (s *State) letWait(m *small) {
+	m.askAt = s.now + waitStep
+	s.smalls.waiting = append(s.smalls.waiting, m.task)
+}
+
+// await follows a running task and renews its lease.
+func (s *State) await(m *small) {
+	m.askAt = 0
+	s.emit(Effect{Small: &SmallCall{Worker: m.worker, Address: s.address(m.worker), Await: &upstream.Await{
+		Task: m.task, Wait: smallWait, Fence: m.unsure, Incarnation: m.incarnation,
+	}}})
+}
+
+// endSmall answers a small request and forgets it.
+func (s *State) endSmall(m *small, r Reply) {
+	delete(s.smalls.tasks, m.task)
+	r.Waiter, r.State = m.Waiter, ledger.Finished
+	s.observe(m.Spec.Organisation, m.Spec.Class, "completionTime", s.now-m.began)
+	s.observe(m.Spec.Organisation, m.Spec.Class, string(r.Outcome.Result), 1)
+	s.reply(r)
+}
+
+// expireSmalls retries the waiting requests, records those that waited long,
+// asks for lost tasks and ends the requests whose caller's time is over.
+func (s *State) expireSmalls() {
+	waiting := s.smalls.waiting
+	s.smalls.waiting = nil
+	for _, id := range waiting {
+		m := s.smalls.tasks[id]
+		switch {
+		case m == nil || m.worker != "":
+		case s.now < m.askAt:
+			s.smalls.waiting = append(s.smalls.waiting, id)
+		default:
+			s.retryWaiting(m)
+		}
+	}
+	for _, id := range sortedKeys(s.smalls.tasks) {
+		m := s.smalls.tasks[id]
+		switch {
+		case s.now >= m.deadline:
+			s.lateSmall(m)
+		case m.worker != "" && m.askAt != 0 && s.now >= m.askAt:
+			s.await(m)
+		}
+	}
+}
+
+// retryWaiting tries a waiting request again, or records it as a job, so that
+// its organisation's guarantee can be claimed for it.
+func (s *State) retryWaiting(m *small) {
+	if s.now-m.began > s.SmallPatience && !m.ran && !s.logDown && !s.draining && s.Ready {
+		delete(s.smalls.tasks, m.task)
+		e := m.Submit
+		e.Wait = m.deadline - s.now
+		s.observe(m.Spec.Organisation, m.Spec.Class, "smallRecorded", 1)
+		s.record(&e, s.DataCentre)
+		return
+	}
+	s.tryWorker(m)
+}
+
+// lateSmall ends a request whose caller's time is over. What is said depends
+// on what the worker has said of the task.
+func (s *State) lateSmall(m *small) {
+	var o job.Outcome
+	switch {
+	case m.worker == "" && m.ran:
+		o = job.Ended(job.Failed, fault.Overloaded, "the task was stopped before its end and found no room again in time",
+			"submit it again later")
+	case m.worker == "":
+		o = job.Ended(job.NotRun, fault.Overloaded, "no worker had room in time", "submit it again later")
+	case m.started && !m.unsure:
+		o = job.Ended(job.Failed, fault.Refused, "the task ran longer than the caller waited and was stopped",
+			"declare a longer run time and wait longer")
+	default:
+		o = job.Ended(job.Unknown, fault.Unknown, "the worker's answer was lost", "submit it again, it is repeatable")
+	}
+	s.stopSmall(m)
+	s.endSmall(m, Reply{Outcome: &o})
+}
+
+// stopSmall stops the task of a small request, if any worker may have it.
+func (s *State) stopSmall(m *small) {
+	if m.worker == "" {
+		return
+	}
+	s.view(m.worker).small.inFlight--
+	s.emit(Effect{Small: &SmallCall{Worker: m.worker, Address: s.address(m.worker), Stop: &upstream.Stop{
+		Task: m.task, Incarnation: m.incarnation,
+	}}})
+}
+
+// abandonSmall drops the small request of a caller that went away.
+func (s *State) abandonSmall(waiter string) {
+	for _, id := range sortedKeys(s.smalls.tasks) {
+		if m := s.smalls.tasks[id]; m.Waiter == waiter {
+			s.stopSmall(m)
+			delete(s.smalls.tasks, id)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/state.go
@@ -0,0 +1,266 @@
+package dispatch
+
+import (
+	"hash/fnv"
+	"math/rand/v2"
+
+	"github.com/limpetrelay/limpetrelay/fault"
+	"github.com/limpetrelay/limpetrelay/ledger"
+	"github.com/limpetrelay/limpetrelay/platform"
+	"github.com/limpetrelay/limpetrelay/policy"
+	"github.com/limpetrelay/limpetrelay/record"
+	"github.com/limpetrelay/limpetrelay/retry"
+)
+
+// Settings configures a State. All times are in milliseconds, and zero fields
+// have defaults.
+type Settings struct {
+	// Host, Incarnation and DataCentre are required.
+	Host        string
+	Incarnation string
+	DataCentre  string
+	// HeartbeatEvery is the time between heartbeats to a worker. Default 1000.
+	HeartbeatEvery int64
+	// TaskLease is the lease of single tasks. Default 15000.
+	TaskLease int64
+	// GangLease is the lease of gang members. Default 6000.
+	GangLease int64
+	// SmallLease is the lease of small requests. Default 6000.
+	SmallLease int64
+	// PlacerTimeout is the silence after which the placer is replaced.
+	// Default 2000.
+	PlacerTimeout int64
+	// GoneAfter is the silence after which a worker's cells count as bad.
+	// Default 10000.
+	GoneAfter int64
+	// AcceptPatience bounds the wait for the log's verdict. Default 5000.
+	AcceptPatience int64
+	// SmallPatience is how long a small request waits for a slot before it is
+	// recorded as a job. Default 1000.
+	SmallPatience int64
+	// SmallRunTime is the longest declared run time of a small request.
+	// Default 60000.
+	SmallRunTime int64
+	// StopGrace is the time for a checkpoint when a task is stopped.
+	// Default 500.
+	StopGrace int64
+	// Cooloff is how long an ejected worker stays out at first. Default 60000.
+	Cooloff int64
+	// BatchRecords bounds the records in one append. Default 128; 1 turns
+	// merging off.
+	BatchRecords int
+	// Policy chooses places. The zero value is policy.Cells.
+	Policy policy.Policy
+}
+
+// expireStep is the time between two looks for expired waits, in milliseconds.
+const expireStep = 20
+
+// State is the state of one entry host. Its Settings are set before the first
+// Apply; the rest of the zero value is ready. It must not be used by two
+// goroutines at once.
+type State struct {
+	Settings
+	// Ledger is the replicated state.
+	Ledger ledger.Ledger
+	// Ready is set once the ledger has caught up with the log, and stays set
+	// while the log is cut off.
+	Ready bool
+	// Stuck says why the host cannot become ready, when it cannot.
+	Stuck string
+
+	outbox
+	placer
+	fleet
+	smalls
+
+	now, wall int64
+	rand      *rand.Rand
+	budget    retry.Budget
+	waits     map[string][]wait
+	// submits is keyed by the sequence of the caller's record.
+	submits map[uint64]submit
+	out     []Effect
+	// expireAt is when to look for expired waits again.
+	expireAt   int64
+	draining   bool
+	drained    bool
+	drainStart int64
+	checked    int
+	broken     int
+}
+
+// wait is a caller that waits for the end of a job.
+type wait struct {
+	waiter   string
+	deadline int64
+}
+
+// submit is a caller that waits for the log's verdict on its record.
+type submit struct {
+	waiter   string
+	deadline int64
+	// wait is how long the caller waits for the end of its job.
+	wait int64
+	// cancel is set for the record of a cancellation.
+	cancel bool
+}
+
+// Apply takes one event and returns its effects.
+func (s *State) Apply(e Event) []Effect {
+	s.init()
+	s.now, s.wall = max(s.now, e.Now), e.Wall
+	s.out = nil
+	s.event(&e)
+	if s.now >= s.expireAt {
+		s.expireAt = s.now + expireStep
+		s.expire()
+	}
+	s.lead()
+	s.flush()
+	s.finishDrain()
+	return s.out
+}
+
+// Placer reports whether the host holds the placer role as far as it knows.
+func (s *State) Placer() bool { return s.leading && !s.caretaker }
+
+// Draining reports whether the host is shutting down.
+func (s *State) Draining() bool { return s.draining }
+
+// Checked returns the numbers of checked and of broken invariants.
+func (s *State) Checked() (checked, broken int) { return s.checked, s.broken }
+
+// LogDown reports whether the last call to the log failed.
+func (s *State) LogDown() bool { return s.logDown }
+
+// LogAge returns the time since the log was last heard from, in milliseconds.
+func (s *State) LogAge() int64 { return s.now - s.logHeard }
+
+// event dispatches on the event.
+func (s *State) event(e *Event) {
+	switch {
+	case e.Tail != nil:
+		s.onTail(e.Tail)
+	case e.Restored != nil:
+		s.onRestored(e.Restored)
+	case e.Appended != nil:
+		s.onAppended(e.Appended)
+	case e.Submit != nil:
+		s.onSubmit(e.Submit)
+	case e.Wait != nil:
+		s.onWait(e.Wait)
+	case e.Cancel != nil:
+		s.onCancel(e.Cancel)
+	case e.Patch != nil:
+		s.onPatch(e.Patch)
+	case e.Abandon != nil:
+		s.onAbandon(e.Abandon)
+	case e.Heartbeat != nil:
+		s.onHeartbeat(e.Heartbeat)
+	case e.Member != nil:
+		s.onMember(e.Member)
+	case e.Small != nil:
+		s.onSmall(e.Small)
+	case e.Hosts != nil:
+		s.onHosts(e.Hosts)
+	case e.Drain != nil:
+		s.draining, s.drainStart = true, s.now
+		s.drainWaits()
+	}
+}
+
+// init fills in defaults and makes the maps of a zero State.
+func (s *State) init() {
+	if s.waits != nil {
+		return
+	}
+	s.waits = map[string][]wait{}
+	s.submits = map[uint64]submit{}
+	s.fleet.views = map[string]*workerView{}
+	s.fleet.hosts = map[string]platform.Host{}
+	s.smalls.tasks = map[string]*small{}
+	s.placer.drives = map[string]*drive{}
+	s.placer.holds = map[string]*hold{}
+	for _, d := range []struct {
+		p *int64
+		v int64
+	}{
+		{&s.HeartbeatEvery, 1000}, {&s.TaskLease, 15000}, {&s.GangLease, 6000}, {&s.SmallLease, 6000},
+		{&s.PlacerTimeout, 2000}, {&s.GoneAfter, 10000}, {&s.AcceptPatience, 5000}, {&s.SmallPatience, 1000},
+		{&s.SmallRunTime, 60000}, {&s.StopGrace, 500}, {&s.Cooloff, 60000},
+	} {
+		if *d.p == 0 {
+			*d.p = d.v
+		}
+	}
+	if s.BatchRecords == 0 {
+		s.BatchRecords = 128
+	}
+	h := fnv.New64a()
+	h.Write([]byte(s.Incarnation))
+	s.rand = rand.New(rand.NewPCG(h.Sum64(), 1))
+}
+
+// emit adds an effect.
+func (s *State) emit(e Effect) { s.out = append(s.out, e) }
+
+// reply answers a caller.
+func (s *State) reply(r Reply) { s.emit(Effect{Reply: &r}) }
+
+// refuse answers a caller with an error.
+func (s *State) refuse(waiter string, err error) {
+	s.reply(Reply{Waiter: waiter, Err: fault.As(err)})
+}
+
+// observe emits a measurement.
+func (s *State) observe(org, class, name string, v int64) {
+	s.emit(Effect{Observe: &Observation{Organisation: org, Class: class, Name: name, Value: v}})
+}
+
+// breaks reports a broken invariant.
+func (s *State) breaks(message string) {
+	s.broken++
+	s.emit(Effect{Broken: &Broken{Message: message}})
+}
+
+// check asserts the invariants of the ledger.
+func (s *State) check() {
+	broken, n := s.Ledger.Check()
+	s.checked += n
+	for _, b := range broken {
+		s.breaks(b)
+	}
+}
+
+// expire answers the callers whose time is over.
+func (s *State) expire() {
+	for _, seq := range sortedKeys(s.submits) {
+		if sub := s.submits[seq]; s.now >= sub.deadline {
+			delete(s.submits, seq)
+			s.giveUp(seq, sub)
+		}
+	}
+	for _, id := range sortedKeys(s.waits) {
+		keep := s.waits[id][:0]
+		for _, w := range s.waits[id] {
+			if s.now < w.deadline {
+				keep = append(keep, w)
+				continue
+			}
+			s.replyJob(w.waiter, id)
+		}
+		if s.waits[id] = keep; len(keep) == 0 {
+			delete(s.waits, id)
+		}
+	}
+	s.expireSmalls()
+}
+
+// write queues a record of this host and returns its sequence.
+func (s *State) write(r record.Record) uint64 {
+	s.sequence++
+	r.Host, r.Incarnation, r.Sequence, r.At = s.Host, s.Incarnation, s.sequence, s.wall
+	s.queue = append(s.queue, item{record: r})
+	return s.sequence
+}
--- /dev/null
+++ b/dispatch/tail.go
@@ -0,0 +1,165 @@
+package dispatch
+
+import (
+	"fmt"
+
+	"github.com/limpetrelay/limpetrelay/fault"
+	"github.com/limpetrelay/limpetrelay/ledger"
+	"github.com/limpetrelay/limpetrelay/record"
+)
+
+// checkEvery is the number of log entries between two checks of the ledger's
+// invariants.
+const checkEvery = 16
+
+// onTail applies entries of the log.
+func (s *State) onTail(t *Tail) {
+	if t.Peer != nil {
+		s.onPeer(t.Peer)
+	}
+	if t.Err != nil {
+		s.onTailError(t)
+		return
+	}
+	if t.Peer == nil {
+		s.heardLog()
+	}
+	before := s.Ledger.Next / checkEvery
+	for _, e := range t.Page.Entries {
+		if e.Offset < s.Ledger.Next {
+			continue
+		}
+		if e.Offset > s.Ledger.Next {
+			s.recover(fmt.Sprintf("records %d to %d are missing", s.Ledger.Next, e.Offset-1))
+			return
+		}
+		s.applyEntry(e.Offset, e.Data)
+	}
+	if s.Ledger.Next/checkEvery != before {
+		s.check()
+	}
+	if !s.Ready && s.Ledger.Next >= t.Page.End {
+		s.Ready, s.Stuck = true, ""
+	}
+}
+
+// onTailError notes an outage or asks for a snapshot across a gap.
+func (s *State) onTailError(t *Tail) {
+	if t.Peer != nil {
+		return
+	}
+	if fault.KindOf(t.Err) == fault.Gap {
+		s.recover(fault.As(t.Err).Message)
+		return
+	}
+	s.logDown = true
+}
+
+// recover stops the host from serving until a snapshot bridges the gap. Its
+// state is too old to be trusted for anything but following tasks.
+func (s *State) recover(why string) {
+	s.Ready, s.Stuck = false, why
+	s.emit(Effect{Recover: &Recover{Why: why}})
+}
+
+// onRestored takes a newer ledger. Verdicts of this host's records that the
+// snapshot covers are lost, so their callers are answered from its content.
+func (s *State) onRestored(r *Restored) {
+	if r.Ledger.Next < s.Ledger.Next {
+		return
+	}
+	version := s.Ledger.Config.Version
+	s.Ledger = *r.Ledger
+	if s.Ledger.Config.Version < version {
+		s.breaks(fmt.Sprintf("the configuration went back from version %d to %d", version, s.Ledger.Config.Version))
+	}
+	s.Stuck = ""
+	for _, id := range sortedKeys(s.waits) {
+		if j := s.Ledger.Jobs[id]; j != nil && j.State == ledger.Finished {
+			s.answerWaits(id)
+		}
+	}
+	s.stopLeading()
+	s.check()
+}
+
+// applyEntry applies one entry, a batch of records.
+func (s *State) applyEntry(offset uint64, data []byte) {
+	defer s.Ledger.Advance(offset)
+	batch, err := record.Decode(data)
+	if err != nil {
+		s.observe("", "", "undecodableEntries", 1)
+		return
+	}
+	for i := range batch {
+		version := s.Ledger.Config.Version
+		v := s.Ledger.Apply(offset, batch[i])
+		if now := s.Ledger.Config.Version; now != version && now != version+1 {
+			s.breaks(fmt.Sprintf("the configuration went from version %d to %d", version, now))
+		}
+		if v.Repeat {
+			continue
+		}
+		s.onVerdict(&batch[i], v)
+	}
+}
+
+// onVerdict takes the ledger's decision about a record.
+func (s *State) onVerdict(r *record.Record, v ledger.Verdict) {
+	if r.Incarnation == s.Incarnation {
+		s.settleSubmit(r, v)
+	}
+	switch {
+	case r.Claim != nil:
+		s.onClaim(r, v)
+	case r.Place != nil:
+		s.onPlaced(r, v)
+	case r.Requeue != nil:
+		s.onRequeued(r, v)
+	case r.End != nil && v.Err != nil:
+		s.onRefusedEnd(r.End.Job)
+	case r.Cancel != nil && v.Job != nil && !v.Ended:
+		s.onCancelled(v.Job)
+	case r.Worker != nil:
+		s.onWorkerRecord(r.Worker)
+	}
+	if v.Ended {
+		s.onEnded(v.Job)
+	}
+}
+
+// onEnded answers the callers of a job that got its outcome.
+func (s *State) onEnded(j *ledger.Job) {
+	s.dropDrive(j.ID)
+	delete(s.holds, j.ID)
+	s.dirty = true
+	s.answerWaits(j.ID)
+	if s.leading && j.DataCentre == s.DataCentre {
+		s.observe(j.Spec.Organisation, j.Spec.Class, "completionTime", j.EndedTime-j.AcceptedTime)
+		s.observe(j.Spec.Organisation, j.Spec.Class, string(j.Outcome.Result), 1)
+	}
+}
+
+// answerWaits answers everyone who waits for the end of job id.
+func (s *State) answerWaits(id string) {
+	ws := s.waits[id]
+	delete(s.waits, id)
+	for _, w := range ws {
+		s.replyJob(w.waiter, id)
+	}
+}
+
+// replyJob answers a caller with the state of job id.
+func (s *State) replyJob(waiter, id string) {
+	j := s.Ledger.Jobs[id]
+	if j == nil {
+		s.refuse(waiter, fault.Newf(fault.NotFound, "check the job ID; ended jobs are kept for a day", "there is no job %q", id))
+		return
+	}
+	r := Reply{Waiter: waiter, Job: id, State: j.State}
+	if j.State == ledger.Finished {
+		o := j.Outcome
+		r.Outcome = &o
+	}
+	s.reply(r)
+}
--- /dev/null
+++ b/entry/effects.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/limpetrelay/limpetrelay/dispatch"
+	"github.com/limpetrelay/limpetrelay/fault"
+	"github.com/limpetrelay/limpetrelay/platform"
+	"github.com/limpetrelay/limpetrelay/record"
+	"github.com/limpetrelay/limpetrelay/upstream"
+)
+
+// carryOut carries out one effect. Calls run in goroutines of their own, whose
+// results come back as events.
+func (h *Host) carryOut(ctx context.Context, e *dispatch.Effect, now int64) {
+	switch {
+	case e.Append != nil:
+		a := e.Append
+		h.group.start(ctx, "append", func(ctx context.Context) { h.appendBatch(ctx, a) })
+	case e.Heartbeat != nil:
+		c := e.Heartbeat
+		h.group.start(ctx, "heartbeat", func(ctx context.Context) { h.heartbeat(ctx, c, now) })
+	case e.Member != nil:
+		c := e.Member
+		h.group.start(ctx, "member", func(ctx context.Context) { h.member(ctx, c) })
+	case e.Small != nil:
+		c := e.Small
+		h.group.start(ctx, "small", func(ctx context.Context) { h.small(ctx, c, now) })
+	case e.Reply != nil:
+		h.answer(*e.Reply)
+	case e.Observe != nil:
+		h.observe(e.Observe)
+	case e.Broken != nil:
+		h.Metrics.Count("brokenInvariants", "", "", 1)
+		h.Logger.Error("invariant broken", "invariant", e.Broken.Message)
+	case e.Recover != nil:
+		h.Logger.Warn("a snapshot is needed", "why", e.Recover.Why)
+		h.recover.Store(&e.Recover.Why)
+	}
+}
+
+// appendBatch writes a batch to the log.
+func (h *Host) appendBatch(ctx context.Context, a *dispatch.Append) {
+	data, err := record.Encode(a.Batch)
+	if err == nil {
+		began := time.Now()
+		_, err = h.Log.Append(ctx, platform.Records, data)
+		h.Metrics.Time("appendTime", "", "", time.Since(began).Milliseconds())
+		h.Metrics.Time("appendRecords", "", "", int64(len(a.Batch)))
+	}
+	if err != nil {
+		h.Metrics.Count("appendErrors", "", "", 1)
+	}
+	h.post(ctx, dispatch.Event{Appended: &dispatch.Appended{Err: err}})
+}
+
+// heartbeat sends a heartbeat to a worker.
+func (h *Host) heartbeat(ctx context.Context, c *dispatch.HeartbeatCall, sent int64) {
+	r, err := h.Worker(c.Address).Heartbeat(ctx, c.Heartbeat)
+	h.post(ctx, dispatch.Event{Heartbeat: &dispatch.HeartbeatDone{
+		Worker: c.Worker, Sent: sent, Renewed: c.Heartbeat.Renew, Report: r, Err: err,
+	}})
+}
+
+// member carries out a call about a member of a gang.
+func (h *Host) member(ctx context.Context, c *dispatch.MemberCall) {
+	w := h.Worker(c.Address)
+	done := &dispatch.MemberDone{MemberCall: *c}
+	switch c.Operation {
+	case dispatch.OpReserve:
+		done.Report, done.Err = w.Reserve(ctx, c.Order)
+	case dispatch.OpStart:
+		done.Report, done.Err = w.Start(ctx, upstream.Start{Task: c.Order.Task, Term: c.Order.Term})
+	case dispatch.OpStop:
+		done.Report, done.Err = w.Stop(ctx, upstream.Stop{
+			Task: c.Order.Task, Grace: c.Grace, Term: c.Order.Term, Incarnation: c.Order.Incarnation,
+		})
+	default:
+		done.Err = fault.Newf(fault.Internal, "report this defect", "unknown operation %q", c.Operation)
+	}
+	h.post(ctx, dispatch.Event{Member: done})
+}
+
+// small runs, follows or stops a small task.
+func (h *Host) small(ctx context.Context, c *dispatch.SmallCall, sent int64) {
+	w := h.Worker(c.Address)
+	done := &dispatch.SmallDone{Worker: c.Worker, Sent: sent}
+	switch {
+	case c.Run != nil:
+		done.Task = c.Run.Task
+		done.Report, done.Err = w.Run(ctx, *c.Run)
+	case c.Await != nil:
+		done.Task = c.Await.Task
+		done.Report, done.Err = w.Await(ctx, *c.Await)
+	case c.Stop != nil:
+		if _, err := w.Stop(ctx, *c.Stop); err != nil {
+			h.Metrics.Count("stopErrors", "", "", 1)
+		}
+		return
+	}
+	h.post(ctx, dispatch.Event{Small: done})
+}
+
+// observe takes a measurement of the reducer.
+func (h *Host) observe(o *dispatch.Observation) {
+	switch o.Name {
+	case "queueTime", "runTime", "completionTime":
+		h.Metrics.Time(o.Name, o.Organisation, o.Class, o.Value)
+	default:
+		h.Metrics.Count(o.Name, o.Organisation, o.Class, o.Value)
+	}
+}
--- /dev/null
+++ b/entry/host.go
@@ -0,0 +1,313 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/limpetrelay/limpetrelay/dispatch"
+	"github.com/limpetrelay/limpetrelay/fault"
+	"github.com/limpetrelay/limpetrelay/measure"
+	"github.com/limpetrelay/limpetrelay/peer"
+	"github.com/limpetrelay/limpetrelay/platform"
+	"github.com/limpetrelay/limpetrelay/upstream"
+)
+
+const (
+	// tickEvery is the time between two events that only move the time.
+	tickEvery = 50 * time.Millisecond
+	// listEvery is the time between two looks at the list of hosts.
+	listEvery = time.Second
+	// tailWait is how long a read waits for new records.
+	tailWait = time.Second
+	// tailPause is the pause after a failed read.
+	tailPause = 200 * time.Millisecond
+	// eventBuffer is the number of events that may wait for the reducer.
+	eventBuffer = 1024
+)
+
+// Seams are a Host's ways to the outside. All are required.
+type Seams struct {
+	Log       platform.Log
+	Directory platform.Directory
+	// Worker returns the calls of the worker at an address.
+	Worker func(address string) upstream.Worker
+	// Peer returns the calls of the entry host at an address.
+	Peer func(address string) peer.Peer
+}
+
+// Settings configures a Host. Zero fields have defaults.
+type Settings struct {
+	dispatch.Settings
+	// SnapshotRecords is the number of log entries after which a snapshot is
+	// written. Default 500.
+	SnapshotRecords uint64
+	// SnapshotEvery is the time after which a snapshot is written although few
+	// entries were added. It must be well below the log's retention. Default
+	// 5 minutes.
+	SnapshotEvery time.Duration
+	// Logger takes the log lines. Default slog.Default().
+	Logger *slog.Logger
+}
+
+// Host is one entry host. Its exported fields are set before Run.
+type Host struct {
+	Settings
+	Seams
+	// Metrics may be shared with others.
+	Metrics measure.Metrics
+
+	once   sync.Once
+	events chan event
+	view   atomic.Pointer[View]
+	tail   tailBuffer
+	snaps  snapshots
+	// recover holds why a snapshot is needed; nil for no need.
+	recover atomic.Pointer[string]
+	group   group
+
+	mu      sync.Mutex
+	waiters map[string]chan dispatch.Reply
+	count   uint64
+	// ended is set once Run no longer takes events.
+	ended chan struct{}
+}
+
+// event is an event with a channel that is closed once it was applied.
+type event struct {
+	dispatch.Event
+	applied chan struct{}
+	// inspect is called with the reducer's state before the event is applied.
+	inspect func(*dispatch.State)
+}
+
+// View is what other goroutines may know of the reducer's state.
+type View struct {
+	Ready    bool
+	Stuck    string
+	Draining bool
+	Placer   bool
+	// PlacerName is the host that holds the placer role in the log.
+	PlacerName    string
+	PlacerAddress string
+	Term          uint64
+	Next          uint64
+	Version       uint64
+	LogDown       bool
+	// LogAge is the time since the log was last heard from, in milliseconds.
+	LogAge          int64
+	Checked, Broken int
+	Queued, Placed  int
+}
+
+// Run serves until ctx ends or a drain has finished.
+func (h *Host) Run(ctx context.Context) error {
+	h.init()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	h.group.start(ctx, "tail", h.tailLoop)
+	h.group.start(ctx, "list", h.listLoop)
+	h.loop(ctx)
+	close(h.ended)
+	cancel()
+	h.group.wait()
+	h.refuseWaiters()
+	return nil
+}
+
+// View returns the newest view of the reducer's state.
+func (h *Host) View() View {
+	h.init()
+	return *h.view.Load()
+}
+
+// Drain starts the shutdown. Run returns once it has finished.
+func (h *Host) Drain(ctx context.Context) {
+	h.init()
+	h.post(ctx, dispatch.Event{Drain: &dispatch.Drain{}})
+}
+
+// Ask sends an event that is answered by a Reply to the waiter that make is
+// given. When ctx ends first, the request is abandoned.
+func (h *Host) Ask(ctx context.Context, newEvent func(waiter string) dispatch.Event) (dispatch.Reply, error) {
+	h.init()
+	id, ch := h.newWaiter()
+	defer h.dropWaiter(id)
+	if !h.post(ctx, newEvent(id)) {
+		return dispatch.Reply{}, ended()
+	}
+	select {
+	case r := <-ch:
+		if r.Err != nil {
+			return r, r.Err
+		}
+		return r, nil
+	case <-ctx.Done():
+		h.post(context.WithoutCancel(ctx), dispatch.Event{Abandon: &dispatch.Abandon{Waiter: id}})
+		return dispatch.Reply{}, fault.New(fault.Unknown, "the caller went away", "ask for the request by its key")
+	}
+}
+
+// init makes what the zero value lacks.
+func (h *Host) init() {
+	h.once.Do(func() {
+		h.events = make(chan event, eventBuffer)
+		h.waiters = map[string]chan dispatch.Reply{}
+		h.ended = make(chan struct{})
+		h.view.Store(&View{})
+		if h.Logger == nil {
+			h.Logger = slog.Default()
+		}
+		if h.SnapshotRecords == 0 {
+			h.SnapshotRecords = 500
+		}
+		if h.SnapshotEvery == 0 {
+			h.SnapshotEvery = 5 * time.Minute
+		}
+		h.Logger = h.Logger.With("host", h.Host(), "dataCentre", h.DataCentre)
+	})
+}
+
+// Host returns the host's name.
+func (h *Host) Host() string { return h.Settings.Host }
+
+// loop applies events until ctx ends or the reducer has drained.
+func (h *Host) loop(ctx context.Context) {
+	s := &dispatch.State{Settings: h.Settings.Settings}
+	start := time.Now()
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		var e event
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.group.ends():
+			h.group.ended()
+			continue
+		case <-tick.C:
+		case e = <-h.events:
+		}
+		e.Now, e.Wall = time.Since(start).Milliseconds(), time.Now().UnixMilli()
+		if e.Tail != nil {
+			h.tail.add(e.Tail.Page.Entries)
+		}
+		if e.inspect != nil {
+			e.inspect(s)
+		}
+		effects := s.Apply(e.Event)
+		h.publish(s)
+		for i := range effects {
+			if effects[i].Drained != nil {
+				return
+			}
+			h.carryOut(ctx, &effects[i], e.Now)
+		}
+		if e.applied != nil {
+			close(e.applied)
+		}
+		h.snapshotIfDue(ctx, s)
+	}
+}
+
+// post hands an event to the reducer. It returns false when ctx or the host
+// has ended.
+func (h *Host) post(ctx context.Context, e dispatch.Event) bool {
+	select {
+	case h.events <- event{Event: e}:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-h.ended:
+		return false
+	}
+}
+
+// apply hands an event to the reducer and waits until it was applied.
+func (h *Host) apply(ctx context.Context, e dispatch.Event) bool {
+	return h.send(ctx, event{Event: e})
+}
+
+// inspect calls fn with the reducer's state, in the reducer's goroutine.
+func (h *Host) inspect(ctx context.Context, fn func(*dispatch.State)) bool {
+	return h.send(ctx, event{inspect: fn})
+}
+
+// send hands e to the loop and waits until it was applied.
+func (h *Host) send(ctx context.Context, e event) bool {
+	done := make(chan struct{})
+	e.applied = done
+	select {
+	case h.events <- e:
+	case <-ctx.Done():
+		return false
+	case <-h.ended:
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-h.ended:
+		return false
+	}
+}
+
+// publish makes the reducer's state visible.
+func (h *Host) publish(s *dispatch.State) {
+	v := &View{
+		Ready: s.Ready, Stuck: s.Stuck, Draining: s.Draining(), Placer: s.Placer(),
+		PlacerName: s.PlacerName(), PlacerAddress: s.PeerAddress(s.PlacerName()), Term: s.Term(),
+		Next: s.Ledger.Next, Version: s.Ledger.Config.Version, LogDown: s.LogDown(), LogAge: s.LogAge(),
+	}
+	v.Checked, v.Broken = s.Checked()
+	v.Queued, v.Placed = s.OpenJobs()
+	h.view.Store(v)
+}
+
+// newWaiter returns a waiter and the channel of its reply.
+func (h *Host) newWaiter() (string, chan dispatch.Reply) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.count++
+	id := fmt.Sprint(h.count)
+	ch := make(chan dispatch.Reply, 1)
+	h.waiters[id] = ch
+	return id, ch
+}
+
+// dropWaiter forgets a waiter.
+func (h *Host) dropWaiter(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.waiters, id)
+}
+
+// answer delivers a reply.
+func (h *Host) answer(r dispatch.Reply) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if ch := h.waiters[r.Waiter]; ch != nil {
+		ch <- r
+		delete(h.waiters, r.Waiter)
+	}
+}
+
+// refuseWaiters answers whoever is left when the host ends.
+func (h *Host) refuseWaiters() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id, ch := range h.waiters {
+		ch <- dispatch.Reply{Waiter: id, Err: fault.As(ended())}
+		delete(h.waiters, id)
+	}
+}
+
+// ended returns the error of a host that has shut down.
+func ended() error {
+	return fault.New(fault.Unknown, "this host has ended", "ask for the request by its key at another host")
+}
--- /dev/null
+++ b/entry/serve.go
@@ -0,0 +1,123 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"github.com/limpetrelay/limpetrelay/peer"
+	"github.com/limpetrelay/limpetrelay/platform"
+	"github.com/limpetrelay/limpetrelay/upstream"
+	"github.com/limpetrelay/limpetrelay/wire"
+)
+
+// shutdownTimeout bounds the time in which written answers reach their
+// callers after a drain.
+const shutdownTimeout = 10 * time.Second
+
+// Addresses are where a Host listens.
+type Addresses struct {
+	// Callers is the IP number and port for callers and operators.
+	Callers string
+	// Peers is the IP number and port for the other entry hosts.
+	Peers string
+}
+
+// Serve runs h with HTTP servers until ctx ends, and then drains: it refuses
+// new requests, answers the open ones and hands its role over before it
+// leaves.
+func (h *Host) Serve(ctx context.Context, a Addresses) error {
+	h.init()
+	callers, peers := http.NewServeMux(), http.NewServeMux()
+	h.Routes(callers)
+	peer.Register(peers, peer.Peer{Tail: h.Tail, Fetch: h.Fetch})
+	// The work outlives ctx, whose end only starts the drain.
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	servers := []*khttp.Server{newServer(a.Callers, callers), newServer(a.Peers, peers)}
+	failed := make(chan error, len(servers))
+	for _, s := range servers {
+		go func() { failed <- s.Start(work) }()
+	}
+	ran := make(chan error, 1)
+	go func() { ran <- h.Run(work) }()
+	var err error
+	select {
+	case <-ctx.Done():
+		h.Logger.Info("draining")
+		h.Drain(work)
+		err = <-ran
+	case err = <-failed:
+		failed <- nil
+		cancel()
+		<-ran
+	case err = <-ran:
+	}
+	return errors.CombineErrors(errors.Wrap(err, "serve"), stopServers(work, servers, failed))
+}
+
+// stopServers lets the servers finish their answers and reads their ends.
+func stopServers(ctx context.Context, servers []*khttp.Server, failed chan error) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	defer cancel()
+	var err error
+	for _, s := range servers {
+		err = errors.CombineErrors(err, s.Stop(ctx))
+	}
+	for range servers {
+		<-failed
+	}
+	return errors.Wrap(err, "stop the servers")
+}
+
+// newServer returns a server without a time limit of its own, since callers
+// wait for jobs.
+func newServer(address string, mux http.Handler) *khttp.Server {
+	s := khttp.NewServer(khttp.Address(address), khttp.Timeout(0))
+	s.HandlePrefix("/", mux)
+	return s
+}
+
+// NetworkSeams returns the seams that reach everything over the network. The
+// platform's services are at base. The count is called with the bytes that
+// cross connections, by purpose: log, worker or peer.
+func NetworkSeams(base string, count func(purpose string, sent, received int)) Seams {
+	by := func(purpose string) func(int, int) {
+		if count == nil {
+			return nil
+		}
+		return func(sent, received int) { count(purpose, sent, received) }
+	}
+	log, dir := platform.NewClient(wire.NewHTTPClient(by("log")), base)
+	workers := cached[upstream.Worker]{client: wire.NewHTTPClient(by("worker")), dial: upstream.NewClient}
+	peers := cached[peer.Peer]{client: wire.NewHTTPClient(by("peer")), dial: peer.NewClient}
+	return Seams{Log: log, Directory: dir, Worker: workers.get, Peer: peers.get}
+}
+
+// cached keeps one set of calls per address.
+type cached[T any] struct {
+	client *http.Client
+	dial   func(*http.Client, string) T
+
+	mu    sync.Mutex
+	calls map[string]T
+}
+
+// get returns the calls of the process at address.
+func (c *cached[T]) get(address string) T {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.calls == nil {
+		c.calls = map[string]T{}
+	}
+	t, ok := c.calls[address]
+	if !ok {
+		t = c.dial(c.client, "http://"+address)
+		c.calls[address] = t
+	}
+	return t
+}
--- /dev/null
+++ b/entry/snapshots.go
@@ -0,0 +1,185 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/limpetrelay/limpetrelay/dispatch"
+	"github.com/limpetrelay/limpetrelay/fault"
+	"github.com/limpetrelay/limpetrelay/ledger"
+	"github.com/limpetrelay/limpetrelay/peer"
+	"github.com/limpetrelay/limpetrelay/platform"
+	"github.com/limpetrelay/limpetrelay/wire"
+)
+
+// restorePause is the pause after a failed search for a snapshot.
+const restorePause = time.Second
+
+// snapshots is the state of writing snapshots. It belongs to the loop, but for
+// the results that writeSnapshot sends back.
+type snapshots struct {
+	// next and at tell of the newest snapshot that this host knows of.
+	next    uint64
+	at      time.Time
+	writing bool
+	done    chan snapshotDone
+}
+
+// snapshotDone is the result of writeSnapshot.
+type snapshotDone struct {
+	next uint64
+	err  error
+}
+
+// snapshotIfDue writes a snapshot when this host leads and the newest one is
+// old. Every leader of a data centre checks the stream first, so that few
+// snapshots are written although nobody is appointed to.
+func (h *Host) snapshotIfDue(ctx context.Context, s *dispatch.State) {
+	if h.snaps.done == nil {
+		h.snaps.done, h.snaps.at = make(chan snapshotDone, 1), time.Now()
+	}
+	select {
+	case d := <-h.snaps.done:
+		h.snaps.writing, h.snaps.at = false, time.Now()
+		if d.err == nil {
+			h.snaps.next = max(h.snaps.next, d.next)
+		}
+	default:
+	}
+	due := s.Ledger.Next >= h.snaps.next+h.SnapshotRecords ||
+		time.Since(h.snaps.at) > h.SnapshotEvery && s.Ledger.Next > 0
+	if h.snaps.writing || !due || !s.Ready || !s.Placer() || s.LogDown() {
+		return
+	}
+	data, err := s.Ledger.Snapshot()
+	if err != nil {
+		h.Logger.Error("cannot pack a snapshot", "error", err.Error())
+		return
+	}
+	h.snaps.writing = true
+	next, done := s.Ledger.Next, h.snaps.done
+	h.group.start(ctx, "snapshot", func(ctx context.Context) {
+		n, err := h.writeSnapshot(ctx, next, data)
+		done <- snapshotDone{next: n, err: err}
+	})
+}
+
+// writeSnapshot appends a snapshot unless the stream has one that is almost as
+// new and young. It returns the offset that the newest snapshot covers.
+func (h *Host) writeSnapshot(ctx context.Context, next uint64, data []byte) (uint64, error) {
+	if j, err := h.readSnapshots(ctx); err == nil && j.Data != nil && j.Next+h.SnapshotRecords/2 > next {
+		if next == j.Next {
+			// Nothing has changed; it is written again so that retention
+			// cannot drop the only one.
+			h.Logger.Debug("refreshing the snapshot", "next", next)
+		} else {
+			return j.Next, nil
+		}
+	}
+	id := fmt.Sprintf("%s-%d", h.Incarnation, next)
+	for _, c := range ledger.Split(id, next, data) {
+		b, err := wire.Encode(c)
+		if err != nil {
+			return 0, err
+		}
+		if _, err := h.Log.Append(ctx, platform.Snapshots, b); err != nil {
+			h.Logger.Warn("cannot write a snapshot", "error", err.Error())
+			return 0, err
+		}
+	}
+	h.Metrics.Count("snapshotsWritten", "", "", 1)
+	h.Metrics.Count("snapshotBytes", "", "", int64(len(data)))
+	return next, nil
+}
+
+// readSnapshots returns the newest complete snapshot of the stream.
+func (h *Host) readSnapshots(ctx context.Context) (*ledger.Joiner, error) {
+	j := &ledger.Joiner{}
+	from := platform.Oldest
+	for {
+		p, err := h.Log.Read(ctx, platform.Snapshots, from, 0)
+		if err != nil {
+			return nil, err
+		}
+		for _, e := range p.Entries {
+			var c ledger.Chunk
+			if wire.Decode(e.Data, &c) == nil {
+				j.Add(c)
+			}
+			from = e.Offset + 1
+		}
+		if len(p.Entries) == 0 || from >= p.End {
+			return j, nil
+		}
+	}
+}
+
+// restore looks for a snapshot that bridges a gap: first at the peers of the
+// data centre, then in the log. Without one the host stays not ready.
+func (h *Host) restore(ctx context.Context) {
+	l := h.fetchPeers(ctx)
+	if j, err := h.readSnapshots(ctx); err == nil && j.Data != nil && (l == nil || j.Next > l.Next) {
+		if r, err := ledger.Restore(j.Data); err == nil {
+			l = r
+		}
+	}
+	if l == nil || l.Next < h.View().Next || !h.bridges(ctx, l.Next) {
+		h.Logger.Warn("no snapshot bridges the gap", "why", *h.recover.Load())
+		pause(ctx, restorePause)
+		return
+	}
+	h.recover.Store(nil)
+	h.apply(ctx, dispatch.Event{Restored: &dispatch.Restored{Ledger: l}})
+	h.Logger.Info("restored a snapshot", "next", l.Next)
+}
+
+// bridges reports whether the log still has, or will have, the record at next.
+func (h *Host) bridges(ctx context.Context, next uint64) bool {
+	_, err := h.Log.Read(ctx, platform.Records, next, 0)
+	return fault.KindOf(err) != fault.Gap
+}
+
+// fetchPeers returns the newest state among the peers, or nil.
+func (h *Host) fetchPeers(ctx context.Context) *ledger.Ledger {
+	hosts, err := h.Directory.List(ctx)
+	if err != nil {
+		return nil
+	}
+	for _, p := range hosts {
+		if p.Kind != platform.KindEntry || p.DataCentre != h.DataCentre || p.Name == h.Host() {
+			continue
+		}
+		r, err := h.Peer(p.Address).Fetch(ctx)
+		if err != nil {
+			continue
+		}
+		if l, err := ledger.Restore(r.Data); err == nil {
+			h.Metrics.Count("snapshotsFetched", "", "", 1)
+			return l
+		}
+	}
+	return nil
+}
+
+// Fetch serves the call of package peer.
+func (h *Host) Fetch(ctx context.Context) (peer.SnapshotResponse, error) {
+	if !h.View().Ready {
+		return peer.SnapshotResponse{}, fault.New(fault.Unavailable, "this host is not ready", "ask another one")
+	}
+	ch := make(chan []byte, 1)
+	if !h.inspect(ctx, func(s *dispatch.State) {
+		data, err := s.Ledger.Snapshot()
+		if err == nil {
+			ch <- data
+		}
+	}) {
+		return peer.SnapshotResponse{}, ended()
+	}
+	select {
+	case d := <-ch:
+		return peer.SnapshotResponse{Data: d}, nil
+	default:
+		return peer.SnapshotResponse{}, fault.New(fault.Unavailable, "cannot pack a snapshot", "ask another host")
+	}
+}
--- /dev/null
+++ b/fault/fault.go
@@ -0,0 +1,103 @@
+package fault
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Kind classifies an error.
+type Kind string
+
+// The closed set of error kinds.
+const (
+	// Invalid means that the input is malformed or out of bounds.
+	Invalid Kind = "invalid"
+	// TooLarge means that the input exceeds a size limit.
+	TooLarge Kind = "tooLarge"
+	// NotFound means that the named object does not exist.
+	NotFound Kind = "notFound"
+	// Conflict means that a patch named a base version that is no longer current.
+	Conflict Kind = "conflict"
+	// KeyReused means that a request key came back with another body.
+	KeyReused Kind = "keyReused"
+	// Infeasible means that no amount of waiting can satisfy the request.
+	Infeasible Kind = "infeasible"
+	// Overloaded means that a queue is full. Nothing was done.
+	Overloaded Kind = "overloaded"
+	// Unavailable means that a dependency is down. Nothing was done.
+	Unavailable Kind = "unavailable"
+	// Refused means that a worker refused the call. Nothing was done.
+	Refused Kind = "refused"
+	// Draining means that the process is shutting down. Nothing was done.
+	Draining Kind = "draining"
+	// Gap means that records were dropped by retention before they were read.
+	Gap Kind = "gap"
+	// Unknown means that the call may or may not have taken effect.
+	Unknown Kind = "unknown"
+	// Internal means a defect in limpetrelay.
+	Internal Kind = "internal"
+)
+
+// Error is a typed error.
+type Error struct {
+	// Kind is never empty.
+	Kind Kind `json:"kind"`
+	// Message says what happened.
+	Message string `json:"message"`
+	// Remedy says what the reader can do about it. It is never empty.
+	Remedy string `json:"remedy"`
+}
+
+// Error returns the message followed by the remedy.
+func (e *Error) Error() string {
+	return e.Message + "; " + e.Remedy
+}
+
+// New returns an error of the given kind with a stack trace attached.
+func New(k Kind, message, remedy string) error {
+	return errors.WithStackDepth(&Error{Kind: k, Message: message, Remedy: remedy}, 1)
+}
+
+// Newf is New with a formatted message.
+func Newf(k Kind, remedy, format string, args ...any) error {
+	e := &Error{Kind: k, Message: fmt.Sprintf(format, args...), Remedy: remedy}
+	return errors.WithStackDepth(e, 1)
+}
+
+// As returns err as an *Error. Errors of foreign types become Unknown, because
+// nothing can be said about what they left behind. It returns nil for nil.
+func As(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{
+		Kind:    Unknown,
+		Message: err.Error(),
+		Remedy:  "ask for the state of the request before you repeat it",
+	}
+}
+
+// KindOf returns the kind of err, and the empty kind for nil.
+func KindOf(err error) Kind {
+	e := As(err)
+	if e == nil {
+		return ""
+	}
+	return e.Kind
+}
+
+// NothingDone reports whether err proves that the call had no effect.
+func NothingDone(err error) bool {
+	switch KindOf(err) {
+	case Invalid, TooLarge, NotFound, Conflict, KeyReused, Infeasible,
+		Overloaded, Unavailable, Refused, Draining:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/ledger/check.go
@@ -0,0 +1,51 @@
+package ledger
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/limpetrelay/limpetrelay/job"
+	"github.com/limpetrelay/limpetrelay/rack"
+)
+
+// Check returns the invariants of l that are broken, and how many were
+// checked. The invariants are: cells are held by one job at a time; a placed
+// gang has all of its members; unused guarantees can be carved out by stopping
+// borrowers, unless the live cells could not hold all guarantees even when
+// idle; a once-only job that has started is not waiting; a job told as not run
+// has never started.
+func (l *Ledger) Check() (broken []string, checked int) {
+	l.init()
+	say := func(ok bool, format string, args ...any) {
+		checked++
+		if !ok {
+			broken = append(broken, fmt.Sprintf(format, args...))
+		}
+	}
+	held := map[string]rack.Mask{}
+	for _, id := range slices.Sorted(maps.Keys(l.Jobs)) {
+		j := l.Jobs[id]
+		l.checkJob(j, held, say)
+	}
+	for _, dc := range slices.Sorted(maps.Keys(l.yards)) {
+		whole := l.forest(dc, liveAccelerated)
+		possible := whole.Carvable(l.Config.Guaranteed(dc))
+		say(!possible || l.Shortfall(dc).IsZero(), "guarantees of %s cannot be reclaimed: %s missing", dc, l.Shortfall(dc))
+	}
+	return broken, checked
+}
+
+// checkJob checks the invariants of one job.
+func (l *Ledger) checkJob(j *Job, held map[string]rack.Mask, say func(bool, string, ...any)) {
+	if j.State == Placed {
+		say(len(j.Members) == max(1, j.Spec.Members), "job %s is placed with %d of %d members",
+			j.ID, len(j.Members), max(1, j.Spec.Members))
+		for _, m := range j.Members {
+			say(held[m.Worker]&m.Mask == 0, "job %s shares slots on worker %s", j.ID, m.Worker)
+			held[m.Worker] |= m.Mask
+		}
+	}
+	say(j.State != Queued || !j.Spec.Once || !j.Started, "once-only job %s waits although it has started", j.ID)
+	say(j.Outcome.Result != job.NotRun || !j.Started, "job %s is told as not run and has started", j.ID)
+}
--- /dev/null
+++ b/ledger/jobs.go
@@ -0,0 +1,360 @@
+package ledger
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/limpetrelay/limpetrelay/config"
+	"github.com/limpetrelay/limpetrelay/fault"
+	"github.com/limpetrelay/limpetrelay/job"
+	"github.com/limpetrelay/limpetrelay/rack"
+	"github.com/limpetrelay/limpetrelay/record"
+)
+
+// CheckAccept returns why spec would be refused in dc now, and nil when it
+// would be accepted. Known keys are not looked at.
+func (l *Ledger) CheckAccept(dc string, spec *job.Spec) error {
+	l.init()
+	if err := spec.Validate(); err != nil {
+		return err
+	}
+	o, ok := l.Config.Organisations[spec.Organisation]
+	if !ok {
+		return fault.Newf(fault.NotFound, "ask an operator to create it with `limpetrelay config patch`",
+			"there is no organisation %q in version %d", spec.Organisation, l.Config.Version)
+	}
+	limit := o.MaxQueued
+	if limit == 0 {
+		limit = config.DefaultMaxQueued
+	}
+	if n := l.queued(spec.Organisation); n >= limit {
+		return fault.Newf(fault.Overloaded, "submit again when some have started",
+			"organisation %s has %d waiting jobs, the most it may have", spec.Organisation, n)
+	}
+	return l.checkFits(dc, spec)
+}
+
+// checkFits returns an Infeasible error with the shape that could fit when
+// spec cannot run in dc even with every worker back and idle.
+func (l *Ledger) checkFits(dc string, spec *job.Spec) error {
+	need, err := spec.Need()
+	if err != nil {
+		return err
+	}
+	all := l.forest(dc, func(w *Worker) bool { return w.Accelerated || spec.Accelerators == 0 })
+	if all.Fits(need) {
+		return nil
+	}
+	return fault.Newf(fault.Infeasible,
+		fmt.Sprintf("ask for at most %s", largest(&all, need)),
+		"data centre %s cannot hold %d members of a %s each, adjacent by %s",
+		dc, need.Members, need.Level, need.Adjacency)
+}
+
+// largest describes the largest gang like need that f holds when idle.
+func largest(f *rack.Forest, need rack.Need) string {
+	lo := 0
+	for m := 1; m <= need.Members; m *= 2 {
+		n := need
+		n.Members = m
+		if !f.Fits(n) {
+			break
+		}
+		lo = m
+	}
+	if lo == 0 {
+		return fmt.Sprintf("a %s; the racks are %s", rack.LevelSlot, f.Free())
+	}
+	return fmt.Sprintf("%d members of a %s, or relax the adjacency; the racks are %s", lo, need.Level, f.Free())
+}
+
+// applyAccept queues a job, or finds the job that its key already names.
+func (l *Ledger) applyAccept(offset uint64, a *record.Accept) Verdict {
+	digest := a.Spec.Digest()
+	if v, known := l.known(&a.Spec, digest); known {
+		return v
+	}
+	if l.Jobs[a.Job] != nil {
+		return Verdict{Err: fault.Newf(fault.Internal, "report this defect", "job ID %s is in use", a.Job)}
+	}
+	if err := l.CheckAccept(a.DataCentre, &a.Spec); err != nil {
+		return Verdict{Err: err}
+	}
+	j := &Job{
+		ID: a.Job, Spec: a.Spec, Digest: digest, DataCentre: a.DataCentre,
+		State: Queued, Accepted: offset, AcceptedTime: l.Time,
+	}
+	l.Jobs[j.ID] = j
+	if a.Spec.Key != "" {
+		l.Keys[RequestKey(a.Spec.Organisation, a.Spec.Key)] = &Key{Job: j.ID, Digest: digest, Once: a.Spec.Once}
+	}
+	return Verdict{Job: j}
+}
+
+// Known returns the verdict for a request whose key has been seen.
+func (l *Ledger) Known(spec *job.Spec) (Verdict, bool) {
+	return l.known(spec, spec.Digest())
+}
+
+// known is Known with the digest at hand.
+func (l *Ledger) known(spec *job.Spec, digest string) (Verdict, bool) {
+	k := l.Keys[RequestKey(spec.Organisation, spec.Key)]
+	if spec.Key == "" || k == nil {
+		return Verdict{}, false
+	}
+	if k.Digest != digest {
+		return Verdict{Err: fault.Newf(fault.KeyReused, "use a new key for a new request",
+			"key %q of organisation %s was used for another request", spec.Key, spec.Organisation)}, true
+	}
+	return Verdict{Job: l.Jobs[k.Job], Known: true, Key: k}, true
+}
+
+// applyPlace places a queued job when every rule holds.
+func (l *Ledger) applyPlace(offset uint64, r *record.Record) Verdict {
+	p := r.Place
+	j, err := l.open(r, p.Job, p.Term)
+	if err != nil {
+		return Verdict{Err: err}
+	}
+	if j.State != Queued || p.Attempt != j.Attempt+1 || j.Cancelled != "" {
+		return Verdict{Job: j, Err: stale(j, p.Attempt)}
+	}
+	if err := l.CheckPlace(j, p); err != nil {
+		return Verdict{Job: j, Err: err}
+	}
+	j.State, j.Attempt, j.PlacedAt = Placed, p.Attempt, offset
+	j.Members = slices.Clone(p.Members)
+	j.Guaranteed, j.Abstract = p.Guaranteed, slices.Clone(p.Abstract)
+	l.yard(j.DataCentre).take(j)
+	return Verdict{Job: j}
+}
+
+// CheckPlace returns why p breaks a rule: whole gang, aligned and free cells
+// on live workers of the right incarnation, the adjacency, and for a
+// guaranteed place that everyone's unused guarantee stays carvable.
+func (l *Ledger) CheckPlace(j *Job, p *record.Place) error {
+	l.init()
+	need, err := j.Spec.Need()
+	if err != nil {
+		return err
+	}
+	if len(p.Members) != need.Members {
+		return refusePlace(j, "it places %d of %d members", len(p.Members), need.Members)
+	}
+	y := l.yard(j.DataCentre)
+	used := map[string]rack.Mask{}
+	for _, m := range p.Members {
+		if err := l.checkMember(j, m, need.Level); err != nil {
+			return err
+		}
+		if (y.taken[m.Worker]|used[m.Worker])&m.Mask != 0 {
+			return refusePlace(j, "slots of worker %s are taken", m.Worker)
+		}
+		used[m.Worker] |= m.Mask
+		if !l.adjacent(need.Adjacency, p.Members[0].Worker, m.Worker) {
+			return refusePlace(j, "workers %s and %s are not adjacent", p.Members[0].Worker, m.Worker)
+		}
+	}
+	if p.Guaranteed && !y.keeps(j.Spec.Organisation, y.known(memberCells(p.Members)), p.Abstract) {
+		return refusePlace(j, "it would make guarantees impossible to reclaim")
+	}
+	return nil
+}
+
+// checkMember checks the worker and the cell of one member.
+func (l *Ledger) checkMember(j *Job, m record.Member, lv rack.Level) error {
+	w := l.Workers[m.Worker]
+	switch {
+	case w == nil || w.DataCentre != j.DataCentre:
+		return refusePlace(j, "worker %s is not in data centre %s", m.Worker, j.DataCentre)
+	case !w.Accelerated && j.Spec.Accelerators > 0:
+		return refusePlace(j, "worker %s has no accelerators", m.Worker)
+	case w.State != record.Live:
+		return refusePlace(j, "worker %s is %s", m.Worker, w.State)
+	case w.Incarnation != m.Incarnation:
+		return refusePlace(j, "worker %s has restarted", m.Worker)
+	case m.Mask&^rack.FullMask(w.Slots) != 0:
+		return refusePlace(j, "worker %s has only %d slots", m.Worker, w.Slots)
+	}
+	if got, ok := m.Mask.Aligned(); !ok || got != lv {
+		return refusePlace(j, "a cell on worker %s is not an aligned %s", m.Worker, lv)
+	}
+	return nil
+}
+
+// adjacent reports whether workers a and b satisfy ad.
+func (l *Ledger) adjacent(ad rack.Adjacency, a, b string) bool {
+	switch ad {
+	case rack.AdjacencyWorker:
+		return a == b
+	case rack.AdjacencyRack:
+		return l.Workers[a].Rack == l.Workers[b].Rack
+	default:
+		return true
+	}
+}
+
+// applyRequeue returns a placed job to the queue. A once-only job is requeued
+// only when it never started.
+func (l *Ledger) applyRequeue(offset uint64, r *record.Record) Verdict {
+	q := r.Requeue
+	j, err := l.open(r, q.Job, q.Term)
+	if err != nil {
+		return Verdict{Err: err}
+	}
+	if j.State != Placed || q.Attempt != j.Attempt {
+		return Verdict{Job: j, Err: stale(j, q.Attempt)}
+	}
+	if j.Spec.Once && !q.NeverStarted {
+		return Verdict{Job: j, Err: fault.Newf(fault.Invalid, "end the job instead",
+			"job %s must run at most once and may have started", j.ID)}
+	}
+	l.leave(j)
+	j.State = Queued
+	j.Started = j.Started || !q.NeverStarted
+	j.Checkpointed = q.Checkpointed || j.Checkpointed && q.NeverStarted
+	l.blame(j, q.FailedOn)
+	if j.Cancelled != "" {
+		l.finish(offset, j, CancelledOutcome(j))
+	}
+	l.settle(j.DataCentre)
+	return Verdict{Job: j, Ended: j.State == Finished}
+}
+
+// applyEnd gives a job its outcome.
+func (l *Ledger) applyEnd(offset uint64, r *record.Record) Verdict {
+	e := r.End
+	j, err := l.open(r, e.Job, e.Term)
+	if err != nil {
+		return Verdict{Err: err}
+	}
+	if e.Attempt != j.Attempt {
+		return Verdict{Job: j, Err: stale(j, e.Attempt)}
+	}
+	if e.Outcome.Result == job.NotRun && j.Started {
+		return Verdict{Job: j, Err: fault.Newf(fault.Internal, "report this defect",
+			"job %s has run and cannot end as not run", j.ID)}
+	}
+	if j.State == Placed {
+		l.leave(j)
+	}
+	l.learn(j, e)
+	l.finish(offset, j, e.Outcome)
+	l.settle(j.DataCentre)
+	return Verdict{Job: j, Ended: true}
+}
+
+// applyCancel marks a job as cancelled. A waiting job ends at once.
+func (l *Ledger) applyCancel(offset uint64, c *record.Cancel) Verdict {
+	j := l.Jobs[c.Job]
+	if j == nil {
+		return Verdict{Err: fault.Newf(fault.NotFound, "check the job ID; ended jobs are kept for a day",
+			"there is no job %q", c.Job)}
+	}
+	if j.State == Finished {
+		return Verdict{Job: j}
+	}
+	j.Cancelled = c.By
+	if j.State != Queued {
+		return Verdict{Job: j}
+	}
+	l.finish(offset, j, CancelledOutcome(j))
+	return Verdict{Job: j, Ended: true}
+}
+
+// CancelledOutcome returns the outcome of a job that was cancelled while it
+// was not running.
+func CancelledOutcome(j *Job) job.Outcome {
+	r := job.NotRun
+	if j.Started {
+		r = job.Failed
+	}
+	return job.Ended(r, fault.Refused, "the job was cancelled by "+j.Cancelled, "submit it again if it is still wanted")
+}
+
+// open returns the unfinished job called id when the writer of r holds the
+// term of its data centre.
+func (l *Ledger) open(r *record.Record, id string, term uint64) (*Job, error) {
+	j := l.Jobs[id]
+	if j == nil {
+		return nil, fault.Newf(fault.NotFound, "check the job ID", "there is no job %q", id)
+	}
+	if j.State == Finished {
+		return nil, stale(j, j.Attempt)
+	}
+	return j, l.checkTerm(r, j.DataCentre, term)
+}
+
+// leave frees the cells of the placed job j.
+func (l *Ledger) leave(j *Job) {
+	l.yard(j.DataCentre).free(j)
+	j.Members, j.Guaranteed, j.Abstract = nil, false, nil
+}
+
+// finish sets the outcome of j and keeps it with its key.
+func (l *Ledger) finish(offset uint64, j *Job, o job.Outcome) {
+	j.State, j.Outcome, j.EndedAt, j.EndedTime = Finished, o, offset, l.Time
+	if k := l.Keys[RequestKey(j.Spec.Organisation, j.Spec.Key)]; k != nil && k.Job == j.ID {
+		k.Outcome, k.EndedAt = o, l.Time
+	}
+}
+
+// learn takes the run time and the blame from the end of j.
+func (l *Ledger) learn(j *Job, e *record.End) {
+	if e.Outcome.Result == job.Completed && e.RunTime > 0 {
+		k := LearnedKey(j.Spec.Organisation, j.Spec.Class)
+		if l.Learned[k] == nil {
+			l.Learned[k] = &RunTimes{}
+		}
+		l.Learned[k].Add(e.RunTime)
+	}
+	l.blame(j, e.FailedOn)
+	if e.Outcome.Result != job.Completed {
+		return
+	}
+	for _, a := range e.Outcome.Answers {
+		if w := l.Workers[a.Worker]; w != nil {
+			w.FailedJobs = nil
+		}
+	}
+}
+
+// maxFailedJobs bounds Worker.FailedJobs.
+const maxFailedJobs = 16
+
+// blame notes that j failed on worker name.
+func (l *Ledger) blame(j *Job, name string) {
+	if name == "" {
+		return
+	}
+	if !slices.Contains(j.FailedOn, name) {
+		j.FailedOn = append(j.FailedOn, name)
+	}
+	w := l.Workers[name]
+	if w == nil || slices.Contains(w.FailedJobs, j.ID) || len(w.FailedJobs) >= maxFailedJobs {
+		return
+	}
+	w.FailedJobs = append(w.FailedJobs, j.ID)
+}
+
+// queued returns the number of waiting jobs of organisation o.
+func (l *Ledger) queued(o string) int {
+	n := 0
+	for _, j := range l.Jobs {
+		if j.Spec.Organisation == o && j.State == Queued {
+			n++
+		}
+	}
+	return n
+}
+
+// stale returns the error for a record about an attempt that is over.
+func stale(j *Job, attempt int) error {
+	return fault.Newf(fault.Conflict, "ask for the job's state",
+		"job %s is %s in attempt %d and the record is about attempt %d", j.ID, j.State, j.Attempt, attempt)
+}
+
+// refusePlace returns the error for a place that breaks a rule.
+func refusePlace(j *Job, format string, args ...any) error {
+	return fault.Newf(fault.Refused, "choose another place", "job %s cannot be placed so: %s", j.ID, fmt.Sprintf(format, args...))
+}
--- /dev/null
+++ b/ledger/ledger.go
@@ -0,0 +1,295 @@
+package ledger
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/limpetrelay/limpetrelay/config"
+	"github.com/limpetrelay/limpetrelay/fault"
+	"github.com/limpetrelay/limpetrelay/job"
+	"github.com/limpetrelay/limpetrelay/rack"
+	"github.com/limpetrelay/limpetrelay/record"
+)
+
+const (
+	// KeepEnded is how long ended jobs are kept, in milliseconds of log time.
+	KeepEnded = 24 * 3600 * 1000
+	// KeepOnce is how long the keys of once-only jobs are kept, in
+	// milliseconds of log time.
+	KeepOnce = 7 * 24 * 3600 * 1000
+	// KeepIncarnation is how long the sequence of a silent incarnation is
+	// kept, in milliseconds of log time.
+	KeepIncarnation = 24 * 3600 * 1000
+	// KeepVersions is the number of past changes kept for the history.
+	KeepVersions = 256
+	// maxTimeStep bounds how far one record may advance the log time, in
+	// milliseconds, so that one wrong clock cannot age everything.
+	maxTimeStep = 60_000
+	// pruneEvery is the number of records between two prunings.
+	pruneEvery = 256
+)
+
+// State is the state of a job.
+type State string
+
+// The states of a job.
+const (
+	// Queued jobs wait for a place.
+	Queued State = "queued"
+	// Placed jobs have a place; their members may be running.
+	Placed State = "placed"
+	// Finished jobs have an outcome.
+	Finished State = "ended"
+)
+
+// Job is a recorded job.
+type Job struct {
+	ID         string
+	Spec       job.Spec
+	Digest     string
+	DataCentre string
+	State      State
+	// Attempt is the number of the current or last attempt, from 1.
+	Attempt int
+	// Members is set while the job is placed.
+	Members []record.Member
+	// Guaranteed is set while the job is placed within a guarantee.
+	Guaranteed bool
+	// Abstract lists the cells of the guarantee in use while Guaranteed.
+	Abstract []rack.Cell
+	// Started is set once an attempt may have started a member.
+	Started bool
+	// Checkpointed is set when the last attempt saved its progress.
+	Checkpointed bool
+	// Cancelled names who cancelled the job.
+	Cancelled string
+	// FailedOn lists the workers on which the job failed, without repeats.
+	FailedOn []string
+	// Outcome is set when State is Finished.
+	Outcome job.Outcome
+	// Accepted, PlacedAt and EndedAt are offsets in the log.
+	Accepted, PlacedAt, EndedAt uint64
+	// AcceptedTime and EndedTime are log times, in Unix milliseconds.
+	AcceptedTime, EndedTime int64
+}
+
+// Worker is a known worker.
+type Worker struct {
+	record.Worker
+	// FailedJobs lists the distinct jobs that failed there since the last
+	// success.
+	FailedJobs []string
+}
+
+// Term is the placer role of a data centre.
+type Term struct {
+	Term        uint64
+	Host        string
+	Incarnation string
+}
+
+// Version is an entry of the configuration's history.
+type Version struct {
+	Version uint64       `json:"version"`
+	Patch   config.Patch `json:"patch"`
+	Host    string       `json:"host"`
+	At      int64        `json:"at"`
+	Offset  uint64       `json:"offset"`
+}
+
+// Key is the memory of a request key.
+type Key struct {
+	Job    string
+	Digest string
+	Once   bool
+	// Outcome outlives the job.
+	Outcome job.Outcome
+	EndedAt int64
+}
+
+// Sequence is the last record seen of an incarnation.
+type Sequence struct {
+	Last uint64
+	At   int64
+}
+
+// Ledger is the replicated state. The zero value is the state before the first
+// record. A Ledger must not be used by two goroutines at once.
+type Ledger struct {
+	// Next is the offset of the first record that was not applied.
+	Next uint64
+	// Time is the log time, in Unix milliseconds. It never goes back.
+	Time int64
+	// Config only ever moves to the next version.
+	Config config.Config
+	// History holds the last KeepVersions changes, oldest first.
+	History []Version
+	// Workers is keyed by name.
+	Workers map[string]*Worker
+	// Jobs is keyed by ID.
+	Jobs map[string]*Job
+	// Keys is keyed by organisation, a slash and the request key.
+	Keys map[string]*Key
+	// Terms is keyed by data centre. A term only ever grows.
+	Terms map[string]Term
+	// Sequences is keyed by incarnation.
+	Sequences map[string]Sequence
+	// Learned is keyed by organisation, a slash and the class.
+	Learned map[string]*RunTimes
+
+	applied uint64
+	// yards is derived from the fields above and keyed by data centre.
+	yards map[string]*yard
+}
+
+// Verdict is what Apply decided about a record.
+type Verdict struct {
+	// Repeat is set when the record was dropped as a repeat.
+	Repeat bool
+	// Err is nil when the record was accepted.
+	Err error
+	// Job is the job that the record concerns, also when an Accept met a known
+	// key; nil for none.
+	Job *Job
+	// Known is set when an Accept met a known key with the same digest. Job
+	// may be nil then, and Key holds the outcome.
+	Known bool
+	Key   *Key
+	// Ended is set when the record ended Job.
+	Ended bool
+	// Version is the version that an accepted patch yielded.
+	Version uint64
+}
+
+// Apply applies the record at the given offset. Batches share one offset, so
+// Next is advanced by the caller through Advance.
+func (l *Ledger) Apply(offset uint64, r record.Record) Verdict {
+	l.init()
+	if l.Sequences[r.Incarnation].Last >= r.Sequence {
+		return Verdict{Repeat: true}
+	}
+	l.advanceTime(r.At)
+	l.Sequences[r.Incarnation] = Sequence{Last: r.Sequence, At: l.Time}
+	v := l.apply(offset, &r)
+	l.applied++
+	if l.applied%pruneEvery == 0 {
+		l.prune()
+	}
+	return v
+}
+
+// Advance moves Next past offset once all records of its batch were applied.
+func (l *Ledger) Advance(offset uint64) {
+	if offset >= l.Next {
+		l.Next = offset + 1
+	}
+}
+
+// apply dispatches on the body.
+func (l *Ledger) apply(offset uint64, r *record.Record) Verdict {
+	switch {
+	case r.Patch != nil:
+		return l.applyPatch(offset, r)
+	case r.Accept != nil:
+		return l.applyAccept(offset, r.Accept)
+	case r.Place != nil:
+		return l.applyPlace(offset, r)
+	case r.Requeue != nil:
+		return l.applyRequeue(offset, r)
+	case r.End != nil:
+		return l.applyEnd(offset, r)
+	case r.Cancel != nil:
+		return l.applyCancel(offset, r.Cancel)
+	case r.Claim != nil:
+		return l.applyClaim(r)
+	case r.Worker != nil:
+		return l.applyWorker(r)
+	default:
+		return Verdict{Err: fault.New(fault.Invalid, "the record has no body", "check which program wrote it")}
+	}
+}
+
+// init makes the maps of a zero Ledger.
+func (l *Ledger) init() {
+	if l.Jobs != nil && l.yards != nil {
+		return
+	}
+	if l.Jobs == nil {
+		l.Config = l.Config.Clone()
+		l.Workers = map[string]*Worker{}
+		l.Jobs = map[string]*Job{}
+		l.Keys = map[string]*Key{}
+		l.Terms = map[string]Term{}
+		l.Sequences = map[string]Sequence{}
+		l.Learned = map[string]*RunTimes{}
+	}
+	l.rebuild()
+}
+
+// advanceTime moves the log time towards at.
+func (l *Ledger) advanceTime(at int64) {
+	if l.Time == 0 {
+		l.Time = at
+		return
+	}
+	if at > l.Time {
+		l.Time = min(at, l.Time+maxTimeStep)
+	}
+}
+
+// prune forgets what is older than its time.
+func (l *Ledger) prune() {
+	maps.DeleteFunc(l.Jobs, func(_ string, j *Job) bool {
+		return j.State == Finished && l.Time-j.EndedTime > KeepEnded
+	})
+	maps.DeleteFunc(l.Keys, func(_ string, k *Key) bool {
+		if _, ok := l.Jobs[k.Job]; ok {
+			return false
+		}
+		return !k.Once || l.Time-k.EndedAt > KeepOnce
+	})
+	maps.DeleteFunc(l.Sequences, func(_ string, s Sequence) bool {
+		return l.Time-s.At > KeepIncarnation
+	})
+}
+
+// JobIDs returns the IDs of all jobs in the given state in order of acceptance.
+func (l *Ledger) JobIDs(s State) []string {
+	var ids []string
+	for id, j := range l.Jobs {
+		if j.State == s {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b string) int { return l.compareJobs(l.Jobs[a], l.Jobs[b]) })
+	return ids
+}
+
+// WorkerNames returns the names of the workers of data centre dc in order.
+func (l *Ledger) WorkerNames(dc string) []string {
+	var names []string
+	for n, w := range l.Workers {
+		if w.DataCentre == dc {
+			names = append(names, n)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// compareJobs orders jobs by acceptance.
+func (l *Ledger) compareJobs(a, b *Job) int {
+	if a.Accepted != b.Accepted {
+		if a.Accepted < b.Accepted {
+			return -1
+		}
+		return 1
+	}
+	if a.ID < b.ID {
+		return -1
+	}
+	if a.ID > b.ID {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/ledger/runtimes.go
@@ -0,0 +1,49 @@
+package ledger
+
+import "math/bits"
+
+// runTimeBuckets covers run times up to 2^39 milliseconds.
+const runTimeBuckets = 40
+
+// RunTimes is a histogram of observed run times in powers of two milliseconds.
+// The zero value is empty.
+type RunTimes struct {
+	Buckets [runTimeBuckets]uint32
+	Count   uint32
+}
+
+// halveAt is the count at which old observations are halved, so that the
+// histogram follows change.
+const halveAt = 4096
+
+// Add records a run time in milliseconds.
+func (r *RunTimes) Add(ms int64) {
+	b := min(bits.Len64(uint64(max(ms, 0))), runTimeBuckets-1)
+	r.Buckets[b]++
+	r.Count++
+	if r.Count < halveAt {
+		return
+	}
+	r.Count = 0
+	for i := range r.Buckets {
+		r.Buckets[i] /= 2
+		r.Count += r.Buckets[i]
+	}
+}
+
+// Quantile returns an upper bound, in milliseconds, of the q-quantile. It
+// returns false when fewer than least observations were made.
+func (r *RunTimes) Quantile(q float64, least uint32) (int64, bool) {
+	if r == nil || r.Count < least || r.Count == 0 {
+		return 0, false
+	}
+	want := q * float64(r.Count)
+	seen := 0.0
+	for i, c := range r.Buckets {
+		seen += float64(c)
+		if seen >= want {
+			return int64(1) << i, true
+		}
+	}
+	return int64(1) << (runTimeBuckets - 1), true
+}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,133 @@
+package policy
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/limpetrelay/limpetrelay/rack"
+)
+
+// Candidate is a waiting job.
+type Candidate struct {
+	Job          string
+	Organisation string
+	Class        string
+	Need         rack.Need
+	Urgent       bool
+	// Priority is the class's; larger goes first.
+	Priority int
+	// Waited is the time in the queue, in milliseconds.
+	Waited int64
+	// Expected is the expected run time, in milliseconds; 0 for unknown.
+	Expected int64
+	// Guaranteed is set when the organisation's unused guarantee covers it.
+	Guaranteed bool
+	// Accepted orders candidates by their place in the log.
+	Accepted uint64
+}
+
+// Weights weighs the measures. Both zero means equal.
+type Weights struct {
+	Completion    float64
+	Fragmentation float64
+}
+
+// Policy is a way to choose. The zero value behaves like Cells.
+type Policy struct {
+	// Name appears in tables.
+	Name string
+	// Order sorts the candidates, first to be placed first.
+	Order func(q []Candidate, w Weights)
+	// Rank orders the nodes for a member of c; smaller is taken first.
+	Rank func(c *Candidate, w Weights) rack.Rank
+	// Strict stops at the first candidate that does not fit.
+	Strict bool
+	// NoGangHold turns off the reservation for aged gangs.
+	NoGangHold bool
+}
+
+// FirstFit is first come first served on the first cell that fits.
+var FirstFit = Policy{
+	Name: "firstFit", Order: byAge, Strict: true, NoGangHold: true,
+	Rank: func(*Candidate, Weights) rack.Rank { return rack.FirstFit },
+}
+
+// BestFit is first come first served on the tightest cell, passing over what
+// does not fit.
+var BestFit = Policy{
+	Name: "bestFit", Order: byAge, NoGangHold: true,
+	Rank: func(*Candidate, Weights) rack.Rank { return rack.BestFit },
+}
+
+// Cells orders by urgency, guarantee, priority and expected run time with
+// ageing, packs small work onto broken cells and holds cells for aged gangs.
+var Cells = Policy{
+	Name: "cells", Order: byWorth,
+	Rank: func(*Candidate, Weights) rack.Rank { return rack.BestFit },
+}
+
+// Resolve returns p with the functions of Cells where p has none.
+func (p Policy) Resolve() Policy {
+	if p.Order == nil {
+		p.Order = Cells.Order
+	}
+	if p.Rank == nil {
+		p.Rank = Cells.Rank
+	}
+	if p.Name == "" {
+		p.Name = Cells.Name
+	}
+	return p
+}
+
+// byAge orders by acceptance only.
+func byAge(q []Candidate, _ Weights) {
+	slices.SortStableFunc(q, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(a.Accepted, b.Accepted), cmp.Compare(a.Job, b.Job))
+	})
+}
+
+const (
+	// unknownRun stands in for an unknown run time, in milliseconds.
+	unknownRun = 10 * 60 * 1000
+	// leastRun keeps very short jobs from dividing by next to nothing, in
+	// milliseconds.
+	leastRun = 1000
+)
+
+// byWorth orders by urgency, guarantee, priority and then by the response
+// ratio (waited + expected) / expected, which prefers short jobs and lets long
+// ones age (highest response ratio next, Brinch Hansen 1971).
+func byWorth(q []Candidate, w Weights) {
+	slices.SortStableFunc(q, func(a, b Candidate) int {
+		return cmp.Or(
+			-compareBool(a.Urgent, b.Urgent),
+			-cmp.Compare(a.Priority, b.Priority),
+			-compareBool(a.Guaranteed, b.Guaranteed),
+			-cmp.Compare(worth(&a, w), worth(&b, w)),
+			cmp.Compare(a.Accepted, b.Accepted),
+			cmp.Compare(a.Job, b.Job))
+	})
+}
+
+// worth returns the response ratio of c.
+func worth(c *Candidate, _ Weights) float64 {
+	run := float64(c.Expected)
+	if run == 0 {
+		run = unknownRun
+	}
+	run = max(run, leastRun)
+	return (float64(c.Waited) + run) / run
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
--- /dev/null
+++ b/rack/forest.go
@@ -0,0 +1,96 @@
+package rack
+
+import "sort"
+
+// Node is one worker in a Forest.
+type Node struct {
+	// Name is unique in a Forest.
+	Name string
+	// Rack names the rack; nodes with the same rack are adjacent.
+	Rack string
+	// Slots is 1, 2, 4 or 8.
+	Slots int
+	// Used is a subset of FullMask(Slots).
+	Used Mask
+}
+
+// Free returns the unused slots of n.
+func (n *Node) Free() Mask { return FullMask(n.Slots) &^ n.Used }
+
+// Forest is the set of cells of one data centre, or the abstract cells of one
+// guarantee. The zero value is empty and ready to use.
+type Forest struct {
+	// Nodes is sorted by Rack, then Name.
+	Nodes []Node
+}
+
+// Add inserts n and keeps the order.
+func (f *Forest) Add(n Node) {
+	i := sort.Search(len(f.Nodes), func(i int) bool {
+		m := &f.Nodes[i]
+		return m.Rack > n.Rack || m.Rack == n.Rack && m.Name >= n.Name
+	})
+	f.Nodes = append(f.Nodes, Node{})
+	copy(f.Nodes[i+1:], f.Nodes[i:])
+	f.Nodes[i] = n
+}
+
+// Node returns the node called name, or nil.
+func (f *Forest) Node(name string) *Node {
+	for i := range f.Nodes {
+		if f.Nodes[i].Name == name {
+			return &f.Nodes[i]
+		}
+	}
+	return nil
+}
+
+// Free returns the maximal free cells of f.
+func (f *Forest) Free() Shape {
+	var s Shape
+	f.eachRack(func(nodes []Node) {
+		if wholeRack(nodes) {
+			s[LevelRack]++
+			return
+		}
+		for i := range nodes {
+			s = s.Add(nodes[i].Free().Blocks())
+		}
+	})
+	return s
+}
+
+// Carvable reports whether need fits into the free cells of f.
+func (f *Forest) Carvable(need Shape) bool {
+	return f.Free().Missing(need).IsZero()
+}
+
+// Clone returns a deep copy of f.
+func (f *Forest) Clone() Forest {
+	return Forest{Nodes: append([]Node(nil), f.Nodes...)}
+}
+
+// Racks calls fn with the nodes of each rack in order.
+func (f *Forest) eachRack(fn func([]Node)) {
+	for i := 0; i < len(f.Nodes); {
+		j := i
+		for j < len(f.Nodes) && f.Nodes[j].Rack == f.Nodes[i].Rack {
+			j++
+		}
+		fn(f.Nodes[i:j])
+		i = j
+	}
+}
+
+// wholeRack reports whether nodes form one free LevelRack cell.
+func wholeRack(nodes []Node) bool {
+	if len(nodes) != WorkersPerRack {
+		return false
+	}
+	for i := range nodes {
+		if nodes[i].Slots != SlotsPerWorker || nodes[i].Used != 0 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/standin/directory.go
@@ -0,0 +1,82 @@
+package standin
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/limpetrelay/limpetrelay/platform"
+)
+
+// Directory plays the list of hosts. The zero value is empty, without lag.
+type Directory struct {
+	// Lag is how long a change stays hidden.
+	Lag time.Duration
+
+	mu   sync.Mutex
+	down bool
+	log  []change
+}
+
+// change is one change of the list.
+type change struct {
+	at   time.Time
+	host platform.Host
+	gone bool
+}
+
+// Set enters or changes a host.
+func (d *Directory) Set(h platform.Host) { d.note(change{at: time.Now(), host: h}) }
+
+// Remove takes a host off the list.
+func (d *Directory) Remove(name string) {
+	d.note(change{at: time.Now(), host: platform.Host{Name: name}, gone: true})
+}
+
+// SetDown makes the list unavailable, or available again.
+func (d *Directory) SetDown(down bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down = down
+}
+
+// Platform returns the calls of d.
+func (d *Directory) Platform() platform.Directory {
+	return platform.Directory{List: d.List}
+}
+
+// List returns the hosts as they were Lag ago, in order of their names.
+func (d *Directory) List(context.Context) ([]platform.Host, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.down {
+		return nil, unavailable()
+	}
+	seen := time.Now().Add(-d.Lag)
+	m := map[string]platform.Host{}
+	for _, c := range d.log {
+		if c.at.After(seen) {
+			break
+		}
+		if c.gone {
+			delete(m, c.host.Name)
+		} else {
+			m[c.host.Name] = c.host
+		}
+	}
+	hosts := make([]platform.Host, 0, len(m))
+	for _, h := range m {
+		hosts = append(hosts, h)
+	}
+	slices.SortFunc(hosts, func(a, b platform.Host) int { return strings.Compare(a.Name, b.Name) })
+	return hosts, nil
+}
+
+// note appends a change.
+func (d *Directory) note(c change) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.log = append(d.log, c)
+}
--- /dev/null
+++ b/standin/worker.go
@@ -0,0 +1,590 @@
+package standin
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/limpetrelay/limpetrelay/fault"
+	"github.com/limpetrelay/limpetrelay/rack"
+	"github.com/limpetrelay/limpetrelay/upstream"
+)
+
+// Work is the payload that the stand-in understands, in JSON.
+type Work struct {
+	// Run is the run time, in milliseconds.
+	Run int64 `json:"run"`
+	// Output is the length of the answer, in bytes.
+	Output int `json:"output,omitempty"`
+	// Echo is put at the start of the answer.
+	Echo string `json:"echo,omitempty"`
+	// Fail makes the task fail at its end.
+	Fail bool `json:"fail,omitempty"`
+	// Oversize makes the worker's guard stop the task halfway.
+	Oversize bool `json:"oversize,omitempty"`
+}
+
+// Payload returns w as a job payload.
+func (w Work) Payload() []byte {
+	b, err := json.Marshal(w)
+	if err != nil {
+		return nil
+	}
+	return b
+}
+
+// WorkerFaults are the faults of a Worker. The zero value has none.
+type WorkerFaults struct {
+	// Silent hangs every call until its context ends.
+	Silent bool
+	// FailAll fails every task at its start.
+	FailAll bool
+	// LoseAnswers carries out calls and then reports them as unknown.
+	LoseAnswers bool
+}
+
+// Interval is one run of a task.
+type Interval struct {
+	Task  string
+	Job   string
+	Start time.Time
+	// End is zero while the task runs.
+	End time.Time
+	How upstream.End
+}
+
+const (
+	// maxTasks bounds the remembered tasks of a worker.
+	maxTasks = 1 << 16
+	// smallLease is the least lease, in milliseconds.
+	smallLease = 100
+)
+
+// Worker plays one worker. Its exported fields are set before its first call.
+type Worker struct {
+	Name       string
+	DataCentre string
+	Rack       string
+	// Slots defaults to 8.
+	Slots int
+	// Plain workers have no accelerators.
+	Plain bool
+	// Incarnation is unique per start.
+	Incarnation string
+
+	mu       sync.Mutex
+	faults   WorkerFaults
+	dead     bool
+	leaving  bool
+	term     uint64
+	revision uint64
+	used     rack.Mask
+	tasks    map[string]*task
+	history  []Interval
+	// progress is the saved run time per job and member, in milliseconds.
+	progress map[string]int64
+}
+
+// task is one task of a Worker.
+type task struct {
+	upstream.TaskReport
+	order    upstream.Order
+	revision uint64
+	interval int
+	started  time.Time
+	done     chan struct{}
+	lease    *time.Timer
+	work     *time.Timer
+	output   []byte
+}
+
+// SetFaults replaces the faults.
+func (w *Worker) SetFaults(f WorkerFaults) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = f
+}
+
+// SetLeaving makes the worker refuse new work.
+func (w *Worker) SetLeaving(leaving bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = leaving
+}
+
+// Kill ends the worker and all of its tasks.
+func (w *Worker) Kill() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dead = true
+	for _, t := range w.tasks {
+		w.end(t, upstream.Stopped, "the worker died", false)
+	}
+}
+
+// Restart brings a killed worker back, empty, with a new incarnation.
+func (w *Worker) Restart(incarnation string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dead, w.Incarnation, w.term, w.revision, w.used = false, incarnation, 0, 0, 0
+	w.tasks, w.progress = nil, nil
+}
+
+// History returns every run so far, also of earlier incarnations.
+func (w *Worker) History() []Interval {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.history)
+}
+
+// Upstream returns the calls of w.
+func (w *Worker) Upstream() upstream.Worker {
+	return upstream.Worker{
+		Heartbeat: func(ctx context.Context, h upstream.Heartbeat) (upstream.Report, error) {
+			return guarded(ctx, w, func() (upstream.Report, error) { return w.heartbeat(h) })
+		},
+		Reserve: func(ctx context.Context, o upstream.Order) (upstream.TaskReport, error) {
+			return guarded(ctx, w, func() (upstream.TaskReport, error) { return w.reserve(o, false) })
+		},
+		Start: func(ctx context.Context, s upstream.Start) (upstream.TaskReport, error) {
+			return guarded(ctx, w, func() (upstream.TaskReport, error) { return w.start(s) })
+		},
+		Stop: func(ctx context.Context, s upstream.Stop) (upstream.TaskReport, error) {
+			return guarded(ctx, w, func() (upstream.TaskReport, error) { return w.stop(s) })
+		},
+		Run:    w.run,
+		Await:  w.await,
+		Output: w.outputPart,
+	}
+}
+
+// guarded applies the faults around fn.
+func guarded[T any](ctx context.Context, w *Worker, fn func() (T, error)) (T, error) {
+	var zero T
+	w.mu.Lock()
+	f, dead := w.faults, w.dead
+	w.mu.Unlock()
+	if dead {
+		return zero, fault.New(fault.Unavailable, "the worker is down", "use another worker")
+	}
+	if f.Silent {
+		<-ctx.Done()
+		return zero, lost()
+	}
+	res, err := fn()
+	if f.LoseAnswers {
+		return zero, lost()
+	}
+	return res, err
+}
+
+// heartbeat renews leases and reports.
+func (w *Worker) heartbeat(h upstream.Heartbeat) (upstream.Report, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.fence(h.Term); err != nil {
+		return upstream.Report{}, err
+	}
+	for _, id := range h.Renew {
+		if t := w.tasks[id]; t != nil && t.State != upstream.Ended {
+			w.renew(t)
+		}
+	}
+	for _, id := range h.Forget {
+		if t := w.tasks[id]; t != nil && t.State == upstream.Ended {
+			t.revision = 0
+		}
+	}
+	r := upstream.Report{
+		Worker: w.Name, Incarnation: w.Incarnation, DataCentre: w.DataCentre, Rack: w.Rack,
+		Slots: w.slots(), Accelerated: !w.Plain, Leaving: w.leaving,
+		Free: rack.FullMask(w.slots()) &^ w.used, Revision: w.revision,
+	}
+	for _, id := range sortedTasks(w.tasks) {
+		if t := w.tasks[id]; t.revision > h.Seen {
+			r.Tasks = append(r.Tasks, t.TaskReport)
+		}
+	}
+	return r, nil
+}
+
+// reserve holds a cell.
+func (w *Worker) reserve(o upstream.Order, small bool) (upstream.TaskReport, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.fence(o.Term); err != nil {
+		return upstream.TaskReport{}, err
+	}
+	if t := w.tasks[o.Task]; t != nil {
+		if t.State == upstream.Ended {
+			return t.TaskReport, refused("task %s has ended", o.Task)
+		}
+		return t.TaskReport, nil
+	}
+	if err := w.admit(&o); err != nil {
+		return upstream.TaskReport{}, err
+	}
+	t := &task{order: o, done: make(chan struct{})}
+	t.TaskReport = upstream.TaskReport{Task: o.Task, State: upstream.Reserved, Mask: o.Mask, Small: small}
+	w.keep(t)
+	w.used |= o.Mask
+	d := time.Duration(max(o.Lease, smallLease)) * time.Millisecond
+	t.lease = time.AfterFunc(d, func() { w.lapse(t) })
+	return t.TaskReport, nil
+}
+
+// admit checks o and chooses its cell.
+func (w *Worker) admit(o *upstream.Order) error {
+	if err := w.same(o.Incarnation); err != nil {
+		return err
+	}
+	switch {
+	case w.leaving:
+		return refused("worker %s is leaving", w.Name)
+	case o.Accelerated && w.Plain:
+		return refused("worker %s has no accelerators", w.Name)
+	}
+	free := rack.FullMask(w.slots()) &^ w.used
+	if o.Mask == 0 {
+		b, _, ok := free.BestBlock(o.Level)
+		if !ok {
+			return refused("worker %s has no free %s", w.Name, o.Level)
+		}
+		o.Mask = b
+		return nil
+	}
+	if o.Evict {
+		w.evict(o.Mask)
+		free = rack.FullMask(w.slots()) &^ w.used
+	}
+	if free&o.Mask != o.Mask {
+		return refused("slots of worker %s are taken", w.Name)
+	}
+	return nil
+}
+
+// evict stops the small tasks in m.
+func (w *Worker) evict(m rack.Mask) {
+	for _, id := range sortedTasks(w.tasks) {
+		if t := w.tasks[id]; t.Small && t.State != upstream.Ended && t.Mask&m != 0 {
+			w.end(t, upstream.Evicted, "", false)
+		}
+	}
+}
+
+// start runs a reserved task.
+func (w *Worker) start(s upstream.Start) (upstream.TaskReport, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.fence(s.Term); err != nil {
+		return upstream.TaskReport{}, err
+	}
+	t := w.tasks[s.Task]
+	if t == nil || t.State == upstream.Ended {
+		return upstream.TaskReport{}, refused("task %s holds no reservation", s.Task)
+	}
+	if t.State == upstream.Reserved {
+		w.begin(t)
+	}
+	return t.TaskReport, nil
+}
+
+// begin runs t.
+func (w *Worker) begin(t *task) {
+	t.State, t.started = upstream.Running, time.Now()
+	w.touch(t)
+	t.interval = len(w.history)
+	w.history = append(w.history, Interval{Task: t.Task, Job: t.order.Job, Start: t.started})
+	w.renew(t)
+	var work Work
+	if len(t.order.Payload) > 0 {
+		if err := json.Unmarshal(t.order.Payload, &work); err != nil {
+			w.end(t, upstream.Failed, fmt.Sprintf("malformed payload: %v", err), false)
+			return
+		}
+	}
+	if w.faults.FailAll {
+		w.end(t, upstream.Failed, "the worker fails everything", false)
+		return
+	}
+	left := work.Run
+	if t.order.Resume {
+		left = max(0, left-w.progress[t.order.Job])
+	}
+	if work.Oversize {
+		left /= 2
+	}
+	t.work = time.AfterFunc(time.Duration(left)*time.Millisecond, func() { w.finish(t, work) })
+}
+
+// finish ends t by itself.
+func (w *Worker) finish(t *task, work Work) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case work.Oversize:
+		w.end(t, upstream.Failed, "the guard stopped a task over its declared size", false)
+	case work.Fail:
+		w.end(t, upstream.Failed, "the task exited with an error", false)
+	default:
+		t.output = makeOutput(work, t.Task)
+		h := sha256.Sum256(t.output)
+		t.Size, t.Sum = int64(len(t.output)), hex.EncodeToString(h[:])
+		w.end(t, upstream.Completed, "", false)
+	}
+}
+
+// stop ends a task, or leaves a tombstone.
+func (w *Worker) stop(s upstream.Stop) (upstream.TaskReport, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.fence(s.Term); err != nil {
+		return upstream.TaskReport{}, err
+	}
+	if err := w.same(s.Incarnation); err != nil {
+		return upstream.TaskReport{}, err
+	}
+	t := w.tombstone(s.Task)
+	if t.State != upstream.Ended {
+		w.end(t, upstream.Stopped, "", s.Grace > 0)
+	}
+	return t.TaskReport, nil
+}
+
+// run is the call Run.
+func (w *Worker) run(ctx context.Context, r upstream.Run) (upstream.RunReport, error) {
+	_, err := guarded(ctx, w, func() (upstream.TaskReport, error) {
+		if _, err := w.reserve(r.Order, true); err != nil {
+			return upstream.TaskReport{}, err
+		}
+		return w.start(upstream.Start{Task: r.Task})
+	})
+	if err != nil {
+		return upstream.RunReport{Free: w.free()}, err
+	}
+	return w.await(ctx, upstream.Await{Task: r.Task, Wait: r.Wait})
+}
+
+// await is the call Await.
+func (w *Worker) await(ctx context.Context, a upstream.Await) (upstream.RunReport, error) {
+	t, err := guarded(ctx, w, func() (*task, error) { return w.find(a) })
+	if err != nil {
+		return upstream.RunReport{}, err
+	}
+	timer := time.NewTimer(time.Duration(a.Wait) * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-t.done:
+	case <-timer.C:
+	case <-ctx.Done():
+		return upstream.RunReport{}, lost()
+	}
+	return guarded(ctx, w, func() (upstream.RunReport, error) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		rep := upstream.RunReport{TaskReport: t.TaskReport, Free: (rack.FullMask(w.slots()) &^ w.used).Count()}
+		if len(t.output) <= upstream.MaxInline {
+			rep.Output = t.output
+		}
+		return rep, nil
+	})
+}
+
+// find returns a task for Await and renews its lease.
+func (w *Worker) find(a upstream.Await) (*task, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.same(a.Incarnation); err != nil {
+		return nil, err
+	}
+	t := w.tasks[a.Task]
+	if t == nil && !a.Fence {
+		return nil, fault.Newf(fault.NotFound, "check the task's name", "worker %s has no task %s", w.Name, a.Task)
+	}
+	if t == nil {
+		t = w.tombstone(a.Task)
+	}
+	if t.State == upstream.Running {
+		w.renew(t)
+	}
+	return t, nil
+}
+
+// outputPart is the call Output.
+func (w *Worker) outputPart(ctx context.Context, r upstream.OutputRequest) (upstream.OutputPart, error) {
+	return guarded(ctx, w, func() (upstream.OutputPart, error) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		t := w.tasks[r.Task]
+		if t == nil || t.End != upstream.Completed {
+			return upstream.OutputPart{}, fault.Newf(fault.NotFound, "run the job again if it is repeatable",
+				"worker %s no longer has the answer of task %s", w.Name, r.Task)
+		}
+		if r.Offset < 0 || r.Offset > t.Size {
+			return upstream.OutputPart{}, fault.Newf(fault.Invalid, "start within the answer", "offset %d is outside", r.Offset)
+		}
+		end := min(r.Offset+upstream.MaxChunk, t.Size)
+		return upstream.OutputPart{Data: t.output[r.Offset:end], Size: t.Size}, nil
+	})
+}
+
+// tombstone returns the task called id, made as never started when unknown.
+func (w *Worker) tombstone(id string) *task {
+	if t := w.tasks[id]; t != nil {
+		return t
+	}
+	t := &task{done: make(chan struct{})}
+	t.TaskReport = upstream.TaskReport{Task: id, State: upstream.Ended, End: upstream.NeverStarted}
+	close(t.done)
+	w.keep(t)
+	return t
+}
+
+// lapse ends t because nobody renewed its lease.
+func (w *Worker) lapse(t *task) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.end(t, upstream.Lapsed, "", true)
+}
+
+// end ends t unless it has ended. The caller holds mu.
+func (w *Worker) end(t *task, how upstream.End, message string, checkpoint bool) {
+	if t.State == upstream.Ended {
+		return
+	}
+	if t.State == upstream.Reserved {
+		how = upstream.NeverStarted
+	} else {
+		t.RunTime = time.Since(t.started).Milliseconds()
+		w.history[t.interval].End, w.history[t.interval].How = time.Now(), how
+		if checkpoint {
+			t.Checkpointed = true
+			w.save(t)
+		}
+	}
+	t.State, t.End, t.Message, t.Mask = upstream.Ended, how, message, 0
+	w.used &^= t.order.Mask
+	for _, timer := range []*time.Timer{t.lease, t.work} {
+		if timer != nil {
+			timer.Stop()
+		}
+	}
+	w.touch(t)
+	close(t.done)
+}
+
+// save keeps the progress of t for a resumed attempt.
+func (w *Worker) save(t *task) {
+	if w.progress == nil {
+		w.progress = map[string]int64{}
+	}
+	w.progress[t.order.Job] += t.RunTime
+}
+
+// renew starts the lease of t anew.
+func (w *Worker) renew(t *task) {
+	t.lease.Reset(time.Duration(max(t.order.Lease, smallLease)) * time.Millisecond)
+}
+
+// touch marks t as changed.
+func (w *Worker) touch(t *task) {
+	w.revision++
+	t.revision = w.revision
+}
+
+// keep remembers t.
+func (w *Worker) keep(t *task) {
+	if w.tasks == nil {
+		w.tasks = map[string]*task{}
+	}
+	w.tasks[t.Task] = t
+	w.touch(t)
+	if len(w.tasks) > maxTasks {
+		w.forgetOldest()
+	}
+}
+
+// forgetOldest drops the ended task that changed first.
+func (w *Worker) forgetOldest() {
+	var oldest *task
+	for _, t := range w.tasks {
+		if t.State == upstream.Ended && (oldest == nil || t.revision < oldest.revision) {
+			oldest = t
+		}
+	}
+	if oldest != nil {
+		delete(w.tasks, oldest.Task)
+	}
+}
+
+// fence refuses terms below the highest seen. Term 0 is not fenced.
+func (w *Worker) fence(term uint64) error {
+	if term == 0 {
+		return nil
+	}
+	if term < w.term {
+		return refused("term %d is over, worker %s follows term %d", term, w.Name, w.term)
+	}
+	w.term = term
+	return nil
+}
+
+// same refuses calls that are meant for another incarnation.
+func (w *Worker) same(incarnation string) error {
+	if incarnation == "" || incarnation == w.Incarnation {
+		return nil
+	}
+	return refused("worker %s has restarted", w.Name)
+}
+
+// free returns the number of free slots.
+func (w *Worker) free() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return (rack.FullMask(w.slots()) &^ w.used).Count()
+}
+
+// slots returns the number of slots.
+func (w *Worker) slots() int {
+	if w.Slots == 0 {
+		return rack.SlotsPerWorker
+	}
+	return w.Slots
+}
+
+// makeOutput returns the answer of a task.
+func makeOutput(work Work, id string) []byte {
+	out := []byte(work.Echo)
+	for i := 0; len(out) < work.Output; i++ {
+		out = fmt.Appendf(out, "%s:%d\n", id, i)
+	}
+	if work.Output > 0 && len(out) > work.Output {
+		out = out[:max(work.Output, len(work.Echo))]
+	}
+	return out
+}
+
+// sortedTasks returns the keys of m in order.
+func sortedTasks(m map[string]*task) []string {
+	ids := make([]string, 0, len(m))
+	for id := range m {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// refused returns the error of a call without effect.
+func refused(format string, args ...any) error {
+	return fault.Newf(fault.Refused, "try another worker", format, args...)
+}
+
+// lost returns the error of a call whose answer is missing.
+func lost() error {
+	return fault.New(fault.Unknown, "the worker's answer was lost", "ask for the task's state on a new connection")
+}
--- /dev/null
+++ b/trial/processes_test.go
@@ -0,0 +1,196 @@
+package trial
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetrelay/limpetrelay/platform"
+)
+
+// binaries is where TestMain has built the programs.
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+// run builds the programs and runs the tests.
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "limpetrelay")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir, "../cmd/...")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// process is a running program.
+type process struct {
+	name    string
+	cmd     *exec.Cmd
+	address string
+	peers   string
+	ended   chan error
+}
+
+// cluster is a platform, workers and entry hosts as processes.
+type cluster struct {
+	t        *testing.T
+	platform *process
+	workers  map[string]*process
+	hosts    map[string]*process
+}
+
+// newCluster starts a platform.
+func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	c := &cluster{t: t, workers: map[string]*process{}, hosts: map[string]*process{}}
+	a := freeAddress(t)
+	c.platform = c.start("platform", a, "standin", "platform", "--listen", a)
+	c.eventually("the platform answers", func() bool {
+		_, err := http.Get("http://" + a + "/")
+		return err == nil
+	})
+	return c
+}
+
+// addWorker starts a worker and lists it.
+func (c *cluster) addWorker(name, dc, rack string) {
+	c.t.Helper()
+	a := freeAddress(c.t)
+	c.workers[name] = c.start(name, a, "standin", "worker", "--listen", a, "--name", name, "--data-centre", dc, "--rack", rack)
+	c.list(platform.Host{Name: name, Kind: platform.KindWorker, DataCentre: dc, Address: a})
+}
+
+// addHost starts an entry host and lists it.
+func (c *cluster) addHost(name, dc string) {
+	c.t.Helper()
+	a, p := freeAddress(c.t), freeAddress(c.t)
+	file := filepath.Join(c.t.TempDir(), name+".toml")
+	text := fmt.Sprintf("host = %q\ndataCentre = %q\nregion = \"gulf-south\"\nlisten = %q\npeerListen = %q\nplatform = %q\n",
+		name, dc, a, p, "http://"+c.platform.address)
+	require.NoError(c.t, os.WriteFile(file, []byte(text), 0o600))
+	h := c.start(name, a, "limpetrelay", "serve", "--settings", file)
+	h.peers = p
+	c.hosts[name] = h
+	c.list(platform.Host{Name: name, Kind: platform.KindEntry, DataCentre: dc, Address: p})
+	c.eventually(name+" is ready", func() bool { return c.status(name, "/readyz") == http.StatusOK })
+}
+
+// start starts a program and ends it with the test.
+func (c *cluster) start(name, address, program string, args ...string) *process {
+	c.t.Helper()
+	p := &process{name: name, address: address, ended: make(chan error, 1)}
+	p.cmd = exec.Command(filepath.Join(binaries, program), args...)
+	p.cmd.Stderr = logFile(c.t, name)
+	require.NoError(c.t, p.cmd.Start())
+	go func() { p.ended <- p.cmd.Wait() }()
+	c.t.Cleanup(func() { p.kill() })
+	return p
+}
+
+// kill ends a process at once.
+func (p *process) kill() {
+	_ = p.cmd.Process.Signal(syscall.SIGKILL)
+	<-p.ended
+	p.ended <- nil
+}
+
+// list enters a host into the platform's list.
+func (c *cluster) list(h platform.Host) {
+	c.t.Helper()
+	b, err := json.Marshal(h)
+	require.NoError(c.t, err)
+	r, err := http.Post("http://"+c.platform.address+"/hosts", "application/json", bytes.NewReader(b))
+	require.NoError(c.t, err)
+	require.NoError(c.t, r.Body.Close())
+}
+
+// status returns the HTTP status of a path of a host, 0 for none.
+func (c *cluster) status(host, path string) int {
+	r, err := http.Get("http://" + c.hosts[host].address + path)
+	if err != nil {
+		return 0
+	}
+	_ = r.Body.Close()
+	return r.StatusCode
+}
+
+// answer is the part of a response that the tests look at.
+type answer struct {
+	Status  int
+	Job     string
+	State   string
+	Version uint64
+	Output  []byte
+	Outcome json.RawMessage
+	Error   struct{ Kind, Message, Remedy string }
+}
+
+// result returns the result of the outcome.
+func (a *answer) result() string {
+	var o struct{ Result string }
+	_ = json.Unmarshal(a.Outcome, &o)
+	return o.Result
+}
+
+// call sends a request with a JSON body, and retries none.
+func (c *cluster) call(host, method, path, body string) answer {
+	c.t.Helper()
+	req, err := http.NewRequest(method, "http://"+c.hosts[host].address+path, bytes.NewBufferString(body))
+	require.NoError(c.t, err)
+	res, err := http.DefaultClient.Do(req)
+	require.NoError(c.t, err)
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	require.NoError(c.t, err)
+	a := answer{Status: res.StatusCode}
+	require.NoError(c.t, json.Unmarshal(b, &a), "%s", b)
+	return a
+}
+
+// eventually waits for ok, for 15 seconds at most.
+func (c *cluster) eventually(what string, ok func() bool) {
+	c.t.Helper()
+	require.Eventually(c.t, ok, 15*time.Second, 20*time.Millisecond, what)
+}
+
+// freeAddress returns an address that was free a moment ago.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// logFile returns where a process writes its log.
+func logFile(t *testing.T, name string) io.Writer {
+	t.Helper()
+	if dir := os.Getenv("LIMPETRELAY_TRIAL_LOGS"); dir != "" {
+		f, err := os.Create(filepath.Join(dir, name+".log"))
+		require.NoError(t, err)
+		return f
+	}
+	return nil
+}
