--- a/cmd/limpetrelay/main.go
+++ b/cmd/limpetrelay/main.go
@@ -12,14 +12,19 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := newApp().Run(ctx, os.Args); err != nil {
+	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "limpetrelay:", err)
 		os.Exit(exitCode(err))
 	}
 }
 
+// run runs the command line until it ends or is interrupted.
+func run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return newApp().Run(ctx, os.Args)
+}
+
 // newApp returns the command line.
 func newApp() *cli.Command {
 	return &cli.Command{
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -22,6 +22,14 @@
 )
 
 func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// run runs the command line until it ends or is interrupted.
+func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	app := &cli.Command{
@@ -31,10 +39,7 @@
 			platformCommand(), workerCommand(),
 		},
 	}
-	if err := app.Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	return errors.Wrap(app.Run(ctx, os.Args), "standin")
 }
 
 // platformCommand returns the command that plays the platform.
@@ -126,4 +131,3 @@
 		return errors.Wrap(s.Close(), "close")
 	}
 }
-
--- a/dispatch/drive.go
+++ b/dispatch/drive.go
@@ -99,9 +99,13 @@
 	return d
 }
 
-// onPlaced starts to drive a job that this host has placed.
+// onPlaced starts to drive a job that this host has placed. A caretaker takes
+// over what the silent placer has still placed.
 func (s *State) onPlaced(r *record.Record, v ledger.Verdict) {
 	if r.Incarnation != s.Incarnation {
+		if s.leading && v.Err == nil && v.Job.DataCentre == s.DataCentre {
+			s.drives[v.Job.ID] = newDrive(v.Job, phaseRecover, s.now)
+		}
 		return
 	}
 	delete(s.holds, r.Place.Job)
--- a/dispatch/small.go
+++ b/dispatch/small.go
@@ -38,8 +38,8 @@
 // straight to a worker, without the log and without the placer.
 type smalls struct {
 	// tasks is keyed by task.
-	tasks map[string]*small
-	count uint64
+	tasks      map[string]*small
+	smallCount uint64
 	// waiting lists, oldest first, the tasks that found no worker.
 	waiting []string
 }
@@ -82,7 +82,7 @@
 
 // startSmall takes a small request.
 func (s *State) startSmall(e *Submit) {
-	if len(s.smalls.tasks) >= maxSmalls {
+	if len(s.tasks) >= maxSmalls {
 		s.refuse(e.Waiter, fault.New(fault.Overloaded, "nothing was done: too many small requests are open", "submit it again later"))
 		return
 	}
@@ -99,11 +99,11 @@
 // tryWorker sends the request to a worker, or lets it wait for one. Each try
 // has a task name of its own.
 func (s *State) tryWorker(m *small) {
-	delete(s.smalls.tasks, m.task)
-	s.smalls.count++
-	m.task = fmt.Sprintf("s-%s-%d", s.Incarnation, s.smalls.count)
+	delete(s.tasks, m.task)
+	s.smallCount++
+	m.task = fmt.Sprintf("s-%s-%d", s.Incarnation, s.smallCount)
 	m.worker, m.unsure, m.started = "", false, false
-	s.smalls.tasks[m.task] = m
+	s.tasks[m.task] = m
 	w := s.chooseWorker(m)
 	if w == nil {
 		s.letWait(m)
@@ -173,7 +173,7 @@
 // onSmall takes the result of a call.
 func (s *State) onSmall(e *SmallDone) {
 	v := &s.view(e.Worker).small
-	m := s.smalls.tasks[e.Task]
+	m := s.tasks[e.Task]
 	if e.Err == nil || fault.KindOf(e.Err) == fault.Refused {
 		v.free, v.at = e.Report.Free, s.now
 	}
@@ -259,7 +259,7 @@
 // letWait queues a request that has no worker.
 func (s *State) letWait(m *small) {
 	m.askAt = s.now + waitStep
-	s.smalls.waiting = append(s.smalls.waiting, m.task)
+	s.waiting = append(s.waiting, m.task)
 }
 
 // await follows a running task and renews its lease.
@@ -272,7 +272,7 @@
 
 // endSmall answers a small request and forgets it.
 func (s *State) endSmall(m *small, r Reply) {
-	delete(s.smalls.tasks, m.task)
+	delete(s.tasks, m.task)
 	r.Waiter, r.State = m.Waiter, ledger.Finished
 	s.observe(m.Spec.Organisation, m.Spec.Class, "completionTime", s.now-m.began)
 	s.observe(m.Spec.Organisation, m.Spec.Class, string(r.Outcome.Result), 1)
@@ -282,20 +282,20 @@
 // expireSmalls retries the waiting requests, records those that waited long,
 // asks for lost tasks and ends the requests whose caller's time is over.
 func (s *State) expireSmalls() {
-	waiting := s.smalls.waiting
-	s.smalls.waiting = nil
+	waiting := s.waiting
+	s.waiting = nil
 	for _, id := range waiting {
-		m := s.smalls.tasks[id]
+		m := s.tasks[id]
 		switch {
 		case m == nil || m.worker != "":
 		case s.now < m.askAt:
-			s.smalls.waiting = append(s.smalls.waiting, id)
+			s.waiting = append(s.waiting, id)
 		default:
 			s.retryWaiting(m)
 		}
 	}
-	for _, id := range sortedKeys(s.smalls.tasks) {
-		m := s.smalls.tasks[id]
+	for _, id := range sortedKeys(s.tasks) {
+		m := s.tasks[id]
 		switch {
 		case s.now >= m.deadline:
 			s.lateSmall(m)
@@ -309,7 +309,7 @@
 // its organisation's guarantee can be claimed for it.
 func (s *State) retryWaiting(m *small) {
 	if s.now-m.began > s.SmallPatience && !m.ran && !s.logDown && !s.draining && s.Ready {
-		delete(s.smalls.tasks, m.task)
+		delete(s.tasks, m.task)
 		e := m.Submit
 		e.Wait = m.deadline - s.now
 		s.observe(m.Spec.Organisation, m.Spec.Class, "smallRecorded", 1)
@@ -352,10 +352,10 @@
 
 // abandonSmall drops the small request of a caller that went away.
 func (s *State) abandonSmall(waiter string) {
-	for _, id := range sortedKeys(s.smalls.tasks) {
-		if m := s.smalls.tasks[id]; m.Waiter == waiter {
+	for _, id := range sortedKeys(s.tasks) {
+		if m := s.tasks[id]; m.Waiter == waiter {
 			s.stopSmall(m)
-			delete(s.smalls.tasks, id)
+			delete(s.tasks, id)
 			return
 		}
 	}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -177,11 +177,11 @@
 	}
 	s.waits = map[string][]wait{}
 	s.submits = map[uint64]submit{}
-	s.fleet.views = map[string]*workerView{}
-	s.fleet.hosts = map[string]platform.Host{}
-	s.smalls.tasks = map[string]*small{}
-	s.placer.drives = map[string]*drive{}
-	s.placer.holds = map[string]*hold{}
+	s.views = map[string]*workerView{}
+	s.hosts = map[string]platform.Host{}
+	s.tasks = map[string]*small{}
+	s.drives = map[string]*drive{}
+	s.holds = map[string]*hold{}
 	for _, d := range []struct {
 		p *int64
 		v int64
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -90,13 +90,12 @@
 }
 
 // isSmall reports whether a request needs no record: one repeatable member of
-// short declared run time whose caller waits. A keyed request is small only
-// while the log is down.
+// short declared run time whose caller waits. A keyed request is always recorded:
+// without a record nobody could say later, at another host, that it did not run.
 func (s *State) isSmall(e *Submit) bool {
 	sp := &e.Spec
 	return sp.Members <= 1 && !sp.Once && e.Wait > 0 &&
-		sp.RunTime > 0 && sp.RunTime <= s.SmallRunTime && sp.RunTime <= e.Wait &&
-		(sp.Key == "" || s.logDown)
+		sp.RunTime > 0 && sp.RunTime <= s.SmallRunTime && sp.RunTime <= e.Wait && sp.Key == ""
 }
 
 // settleSubmit answers the caller whose record r got a verdict.
--- a/entry/api.go
+++ b/entry/api.go
@@ -77,6 +77,8 @@
 	// Shortfall is what is missing of the unused guarantees.
 	Shortfall     string             `json:"shortfall,omitempty"`
 	Fragmentation map[string]float64 `json:"fragmentation"`
+	// Attempts is empty unless the host is the placer.
+	Attempts []dispatch.Attempt `json:"attempts"`
 }
 
 // workerStatus is one line of statusResponse.
@@ -228,6 +230,7 @@
 		res.Shortfall = short.String()
 	}
 	res.Fragmentation = s.Fragmentation()
+	res.Attempts = s.Attempts()
 }
 
 // handleHealth serves GET /healthz.
@@ -332,7 +335,7 @@
 		}
 		return fault.Newf(fault.Invalid, "compare it with the operators' page", "malformed body: %v", err)
 	}
-	if _, err := d.Token(); err != io.EOF { //nolint:errorlint // the decoder returns io.EOF unwrapped
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
 		return fault.New(fault.Invalid, "data follows the body", "send one JSON object")
 	}
 	return nil
--- a/entry/host.go
+++ b/entry/host.go
@@ -227,8 +227,8 @@
 }
 
 // apply hands an event to the reducer and waits until it was applied.
-func (h *Host) apply(ctx context.Context, e dispatch.Event) bool {
-	return h.send(ctx, event{Event: e})
+func (h *Host) apply(ctx context.Context, e dispatch.Event) {
+	h.send(ctx, event{Event: e})
 }
 
 // inspect calls fn with the reducer's state, in the reducer's goroutine.
--- /dev/null
+++ b/entry/organisations_test.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/limpetrelay/limpetrelay/config"
+	"github.com/limpetrelay/limpetrelay/dispatch"
+	"github.com/limpetrelay/limpetrelay/fault"
+	"github.com/limpetrelay/limpetrelay/job"
+	"github.com/limpetrelay/limpetrelay/rack"
+	"github.com/limpetrelay/limpetrelay/standin"
+)
+
+// organise creates organisations with guarantees in a data centre through a
+// host, and waits until every host has the version.
+func (w *world) organise(host, dc string, guarantees map[string]rack.Shape) error {
+	p := config.Patch{Author: "op"}
+	for o, s := range guarantees {
+		p.Changes = append(p.Changes, config.Change{SetOrganisation: &config.NamedOrganisation{
+			Name: o, Organisation: config.Organisation{Guarantee: map[string]rack.Shape{dc: s}},
+		}})
+	}
+	p.Base = w.host(host).View().Version
+	_, err := w.patch(host, p)
+	if err != nil {
+		return err
+	}
+	if !w.until(10*time.Second, func() bool {
+		for _, n := range w.hostNames() {
+			if w.host(n).View().Version <= p.Base {
+				return false
+			}
+		}
+		return true
+	}) {
+		return fault.New(fault.Unknown, "the patch is not in force everywhere", "look at the hosts")
+	}
+	return nil
+}
+
+// patch submits a patch to a host.
+func (w *world) patch(host string, p config.Patch) (dispatch.Reply, error) {
+	r := w.host(host)
+	if r == nil {
+		return dispatch.Reply{}, unreachable()
+	}
+	ctx, cancel := context.WithTimeout(w.ctx, 20*time.Second)
+	defer cancel()
+	return r.Ask(ctx, func(id string) dispatch.Event {
+		return dispatch.Event{Patch: &dispatch.Patch{Waiter: id, Patch: p}}
+	})
+}
+
+// settled waits until every host is ready and n workers are live.
+func (w *world) settled(n int) bool {
+	return w.until(20*time.Second, func() bool {
+		for _, h := range w.hostNames() {
+			live := 0
+			r := w.host(h)
+			if !r.View().Ready || !r.inspect(w.ctx, func(s *dispatch.State) {
+				for _, wk := range s.Ledger.Workers {
+					if wk.State == "live" {
+						live++
+					}
+				}
+			}) || live < n {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// spec returns a job of an organisation with an echo that names it.
+func spec(org, class, echo string, run int64) job.Spec {
+	return job.Spec{
+		Organisation: org, Class: class, Accelerators: 1, RunTime: run,
+		Payload: standin.Work{Run: run, Echo: echo}.Payload(),
+	}
+}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -54,7 +54,7 @@
 	case err = <-failed:
 		failed <- nil
 		cancel()
-		<-ran
+		err = errors.CombineErrors(err, <-ran)
 	case err = <-ran:
 	}
 	return errors.CombineErrors(errors.Wrap(err, "serve"), stopServers(work, servers, failed))
@@ -69,7 +69,7 @@
 		err = errors.CombineErrors(err, s.Stop(ctx))
 	}
 	for range servers {
-		<-failed
+		err = errors.CombineErrors(err, <-failed)
 	}
 	return errors.Wrap(err, "stop the servers")
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -25,7 +25,8 @@
 	// maxTimeStep bounds how far one record may advance the log time, in
 	// milliseconds, so that one wrong clock cannot age everything.
 	maxTimeStep = 60_000
-	// pruneEvery is the number of records between two prunings.
+	// pruneEvery is the number of offsets between two prunings. It goes by the
+	// offset, so that a host restored from a snapshot prunes like the others.
 	pruneEvery = 256
 )
 
@@ -137,7 +138,6 @@
 	// Learned is keyed by organisation, a slash and the class.
 	Learned map[string]*RunTimes
 
-	applied uint64
 	// yards is derived from the fields above and keyed by data centre.
 	yards map[string]*yard
 }
@@ -170,18 +170,17 @@
 	}
 	l.advanceTime(r.At)
 	l.Sequences[r.Incarnation] = Sequence{Last: r.Sequence, At: l.Time}
-	v := l.apply(offset, &r)
-	l.applied++
-	if l.applied%pruneEvery == 0 {
-		l.prune()
-	}
-	return v
+	return l.apply(offset, &r)
 }
 
 // Advance moves Next past offset once all records of its batch were applied.
 func (l *Ledger) Advance(offset uint64) {
-	if offset >= l.Next {
-		l.Next = offset + 1
+	if offset < l.Next {
+		return
+	}
+	l.Next = offset + 1
+	if l.Next%pruneEvery == 0 {
+		l.prune()
 	}
 }
 
--- a/rack/shape.go
+++ b/rack/shape.go
@@ -110,7 +110,7 @@
 			m[levelNames[l]] = c
 		}
 	}
-	return json.Marshal(m) //nolint:wrapcheck // a map of ints always encodes
+	return json.Marshal(m)
 }
 
 // UnmarshalJSON implements json.Unmarshaler. Unknown levels are refused.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/BurntSushi/toml"
+	"github.com/cockroachdb/errors"
 
 	"github.com/limpetrelay/limpetrelay/fault"
 	"github.com/limpetrelay/limpetrelay/job"
@@ -102,7 +103,7 @@
 	var s Settings
 	meta, err := toml.Decode(text, &s)
 	if err != nil {
-		return s, []Problem{{File: file, Key: keyOf(err), What: fault.As(err).Message, Remedy: remedyOf(err)}}
+		return s, []Problem{{File: file, Key: keyOf(err), What: fault.As(err).Message, Remedy: "correct the line"}}
 	}
 	c := checker{file: file}
 	for _, k := range meta.Undecoded() {
@@ -219,11 +220,9 @@
 
 // keyOf returns the key that a TOML error is about.
 func keyOf(err error) string {
-	if pe, ok := err.(toml.ParseError); ok { //nolint:errorlint // the library returns it unwrapped
+	var pe toml.ParseError
+	if errors.As(err, &pe) {
 		return fmt.Sprintf("%s (line %d)", pe.LastKey, pe.Position.Line)
 	}
 	return "file"
 }
-
-// remedyOf returns the remedy of a TOML error.
-func remedyOf(error) string { return "correct the line" }
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/limpetrelay/limpetrelay/fault"
 	"github.com/limpetrelay/limpetrelay/rack"
 	"github.com/limpetrelay/limpetrelay/upstream"
@@ -38,6 +40,16 @@
 	return b
 }
 
+// parseWork reads a payload. An empty one is no work.
+func parseWork(payload []byte) (Work, error) {
+	var w Work
+	if len(payload) == 0 {
+		return w, nil
+	}
+	err := json.Unmarshal(payload, &w)
+	return w, errors.Wrap(err, "parse the work")
+}
+
 // WorkerFaults are the faults of a Worker. The zero value has none.
 type WorkerFaults struct {
 	// Silent hangs every call until its context ends.
@@ -50,8 +62,10 @@
 
 // Interval is one run of a task.
 type Interval struct {
-	Task  string
-	Job   string
+	Task string
+	Job  string
+	// Echo is the payload's.
+	Echo  string
 	Start time.Time
 	// End is zero while the task runs.
 	End time.Time
@@ -298,15 +312,13 @@
 func (w *Worker) begin(t *task) {
 	t.State, t.started = upstream.Running, time.Now()
 	w.touch(t)
+	work, err := parseWork(t.order.Payload)
 	t.interval = len(w.history)
-	w.history = append(w.history, Interval{Task: t.Task, Job: t.order.Job, Start: t.started})
+	w.history = append(w.history, Interval{Task: t.Task, Job: t.order.Job, Echo: work.Echo, Start: t.started})
 	w.renew(t)
-	var work Work
-	if len(t.order.Payload) > 0 {
-		if err := json.Unmarshal(t.order.Payload, &work); err != nil {
-			w.end(t, upstream.Failed, fmt.Sprintf("malformed payload: %v", err), false)
-			return
-		}
+	if err != nil {
+		w.end(t, upstream.Failed, fmt.Sprintf("malformed payload: %v", err), false)
+		return
 	}
 	if w.faults.FailAll {
 		w.end(t, upstream.Failed, "the worker fails everything", false)
--- a/trial/path_test.go
+++ b/trial/path_test.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return 0
 	}
-	defer res.Body.Close()
+	defer func() { _ = res.Body.Close() }()
 	var s struct{ Workers []struct{ State string } }
 	if decode(res.Body, &s) != nil {
 		return 0
--- a/trial/processes_test.go
+++ b/trial/processes_test.go
@@ -33,7 +33,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	defer os.RemoveAll(dir)
+	defer func() { _ = os.RemoveAll(dir) }()
 	binaries = dir
 	build := exec.Command("go", "build", "-o", dir, "../cmd/...")
 	build.Stderr = os.Stderr
@@ -112,8 +112,8 @@
 // kill ends a process at once.
 func (p *process) kill() {
 	_ = p.cmd.Process.Signal(syscall.SIGKILL)
-	<-p.ended
-	p.ended <- nil
+	err := <-p.ended
+	p.ended <- err
 }
 
 // list enters a host into the platform's list.
@@ -161,7 +161,7 @@
 	require.NoError(c.t, err)
 	res, err := http.DefaultClient.Do(req)
 	require.NoError(c.t, err)
-	defer res.Body.Close()
+	defer func() { _ = res.Body.Close() }()
 	b, err := io.ReadAll(res.Body)
 	require.NoError(c.t, err)
 	a := answer{Status: res.StatusCode}
@@ -180,7 +180,7 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	return l.Addr().String()
 }
 
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -117,14 +117,14 @@
 func (c *countingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.count(0, n)
-	return n, err //nolint:wrapcheck // net.Conn callers compare with io.EOF
+	return n, err
 }
 
 // Write counts sent bytes.
 func (c *countingConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.count(n, 0)
-	return n, err //nolint:wrapcheck // net.Conn callers compare errors
+	return n, err
 }
 
 // encodeError turns a typed error into a connect error with its kind and
