Command line, demo, audit; heartbeats as long polls

Cause: the end of a task was heard of at the next heartbeat, up to a second late, and every hand-over (reclaim, gang restart, answer) paid for it. Ruled out: a shorter heartbeat, which multiplies the control traffic. Change: a worker holds its answer to a heartbeat until a placer's task ends, for one heartbeat period at most. Small tasks do not wake it.

Also: limpetrelay submit, status, answer, cancel, config, check and demo with documented exit codes; package audit, the one judge of tests and demo; refusals carry "result" beside "error", since "outcome" is an object elsewhere.

--- /dev/null
+++ b/cmd/limpetrelay/config.go
@@ -0,0 +1,203 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pmezard/go-difflib/difflib"
+	"github.com/urfave/cli/v3"
+
+	"github.com/limpetrelay/limpetrelay/config"
+	"github.com/limpetrelay/limpetrelay/fault"
+)
+
+// patchExample is the example in the help.
+const patchExample = `A patch names the version it was written against:
+  {"base": 7, "author": "op-anna", "changes": [
+    {"setOrganisation": {"name": "skimworks", "guarantee": {"gulf-a": {"rack": 1, "four": 2}}}},
+    {"removeOrganisation": "old-mill"},
+    {"setClass": {"name": "routePlan", "urgent": true, "priority": 10}},
+    {"setPolicy": {"completionWeight": 3, "fragmentationWeight": 1, "gangAge": 60000}}]}
+Set exactly one field per change. FILE may be - for standard input.
+
+`
+
+// configCommand returns `limpetrelay config`.
+func configCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "config",
+		Usage: "show and patch the numbered configuration",
+		Commands: []*cli.Command{
+			{
+				Name: "show", Usage: "show the configuration in force", Flags: []cli.Flag{hostFlag(), outputFlag()},
+				Action: configShow,
+			},
+			{
+				Name: "history", Usage: "show who changed what", Flags: []cli.Flag{hostFlag(), outputFlag()},
+				Action: configHistory,
+			},
+			{
+				Name: "diff", Usage: "show what a patch would change", ArgsUsage: "FILE",
+				Description: patchExample + exitCodes, Flags: []cli.Flag{hostFlag(), outputFlag()},
+				Action: configDiff,
+			},
+			{
+				Name: "patch", Usage: "submit a patch", ArgsUsage: "FILE", Description: patchExample + exitCodes,
+				Flags:  []cli.Flag{hostFlag(), outputFlag(), &cli.BoolFlag{Name: "dry-run", Usage: "only check it"}},
+				Action: configPatch,
+			},
+		},
+	}
+}
+
+// configShow runs `limpetrelay config show`.
+func configShow(ctx context.Context, c *cli.Command) error {
+	cl, err := newClient(c)
+	if err != nil {
+		return err
+	}
+	var cfg config.Config
+	if err := cl.call(ctx, http.MethodGet, "/v1/config", nil, &cfg, 0); err != nil {
+		return err
+	}
+	return show(c, cfg, func(w io.Writer) { printConfig(w, &cfg) })
+}
+
+// printConfig prints a configuration for people.
+func printConfig(w io.Writer, cfg *config.Config) {
+	_, _ = fmt.Fprintf(w, "version %d\n", cfg.Version)
+	for _, n := range cfg.Names() {
+		_, _ = fmt.Fprintf(w, "organisation %s\n", n)
+		for dc, s := range cfg.Organisations[n].Guarantee {
+			_, _ = fmt.Fprintf(w, "  guaranteed in %s: %s\n", dc, s)
+		}
+	}
+	for n, cl := range cfg.Classes {
+		_, _ = fmt.Fprintf(w, "class %s: urgent %t, priority %d\n", n, cl.Urgent, cl.Priority)
+	}
+	_, _ = fmt.Fprintf(w, "policy: completion %g, fragmentation %g, gang age %s\n", cfg.Policy.CompletionWeight,
+		cfg.Policy.FragmentationWeight, time.Duration(max(cfg.Policy.GangAge, 0))*time.Millisecond)
+}
+
+// historyAnswer is the response of GET /v1/config/history.
+type historyAnswer struct {
+	Versions []struct {
+		Version uint64       `json:"version"`
+		Patch   config.Patch `json:"patch"`
+		Host    string       `json:"host"`
+		At      int64        `json:"at"`
+		Offset  uint64       `json:"offset"`
+	} `json:"versions"`
+}
+
+// configHistory runs `limpetrelay config history`.
+func configHistory(ctx context.Context, c *cli.Command) error {
+	cl, err := newClient(c)
+	if err != nil {
+		return err
+	}
+	var h historyAnswer
+	if err := cl.call(ctx, http.MethodGet, "/v1/config/history", nil, &h, 0); err != nil {
+		return err
+	}
+	return show(c, h, func(w io.Writer) {
+		for i := range h.Versions {
+			v := &h.Versions[i]
+			b, _ := json.Marshal(v.Patch.Changes)
+			_, _ = fmt.Fprintf(w, "%d  %s  %s at %s  %s\n", v.Version,
+				time.UnixMilli(v.At).UTC().Format(time.RFC3339), v.Patch.Author, v.Host, b)
+		}
+	})
+}
+
+// readPatch reads the patch that the arguments name.
+func readPatch(c *cli.Command) (*config.Patch, error) {
+	if c.Args().Len() != 1 {
+		return nil, fault.New(fault.Invalid, "a file is missing", "give one file, or - for standard input")
+	}
+	if c.Args().First() == "-" {
+		return config.ParsePatch(c.Root().Reader)
+	}
+	f, err := os.Open(c.Args().First())
+	if err != nil {
+		return nil, fault.Newf(fault.Invalid, "give the path of a readable file", "cannot read the patch: %v", err)
+	}
+	defer func() { _ = f.Close() }()
+	return config.ParsePatch(f)
+}
+
+// sendPatch submits a patch or checks it.
+func (cl *client) sendPatch(ctx context.Context, p *config.Patch, dry bool) (patchAnswer, error) {
+	path := "/v1/config/patches"
+	if dry {
+		path += "?dryRun=true"
+	}
+	var a patchAnswer
+	err := cl.call(ctx, http.MethodPost, path, p, &a, 0)
+	return a, err
+}
+
+// configPatch runs `limpetrelay config patch`.
+func configPatch(ctx context.Context, c *cli.Command) error {
+	cl, err := newClient(c)
+	if err != nil {
+		return err
+	}
+	p, err := readPatch(c)
+	if err != nil {
+		return err
+	}
+	a, err := cl.sendPatch(ctx, p, c.Bool("dry-run"))
+	if err != nil {
+		return err
+	}
+	return show(c, a, func(w io.Writer) {
+		if c.Bool("dry-run") {
+			_, _ = fmt.Fprintf(w, "it would yield version %d\n", a.Version)
+			return
+		}
+		_, _ = fmt.Fprintf(w, "accepted as version %d\n", a.Version)
+	})
+}
+
+// configDiff runs `limpetrelay config diff`.
+func configDiff(ctx context.Context, c *cli.Command) error {
+	cl, err := newClient(c)
+	if err != nil {
+		return err
+	}
+	p, err := readPatch(c)
+	if err != nil {
+		return err
+	}
+	var now config.Config
+	if err := cl.call(ctx, http.MethodGet, "/v1/config", nil, &now, 0); err != nil {
+		return err
+	}
+	a, err := cl.sendPatch(ctx, p, true)
+	if err != nil {
+		return err
+	}
+	text, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
+		A: difflib.SplitLines(indented(now)), B: difflib.SplitLines(indented(a.Config)),
+		FromFile: fmt.Sprintf("version %d", now.Version), ToFile: fmt.Sprintf("version %d", a.Version), Context: 2,
+	})
+	if err != nil {
+		return fault.Newf(fault.Internal, "report this defect", "cannot compare: %v", err)
+	}
+	return show(c, a, func(w io.Writer) { _, _ = io.WriteString(w, text) })
+}
+
+// indented returns v as indented JSON.
+func indented(v any) string {
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return ""
+	}
+	return string(b) + "\n"
+}
--- a/cmd/limpetrelay/main.go
+++ b/cmd/limpetrelay/main.go
@@ -32,7 +32,8 @@
 		Usage:                 "schedule multi-accelerator jobs under organisation guarantees",
 		EnableShellCompletion: true,
 		Commands: []*cli.Command{
-			serveCommand(),
+			serveCommand(), submitCommand(), statusCommand(), answerCommand(), cancelCommand(),
+			configCommand(), checkCommand(), demoCommand(),
 		},
 	}
 }
--- a/cmd/limpetrelay/serve.go
+++ b/cmd/limpetrelay/serve.go
@@ -12,7 +12,6 @@
 
 	"github.com/limpetrelay/limpetrelay/dispatch"
 	"github.com/limpetrelay/limpetrelay/entry"
-	"github.com/limpetrelay/limpetrelay/fault"
 	"github.com/limpetrelay/limpetrelay/settings"
 )
 
@@ -43,10 +42,7 @@
 	for _, p := range problems {
 		fmt.Fprintln(os.Stderr, p)
 	}
-	if len(problems) == 0 {
-		return nil
-	}
-	return fault.Newf(fault.Invalid, "correct all of them and try again", "the settings have %d problems", len(problems))
+	return problemsError(problems)
 }
 
 // serve runs an entry host with checked settings.
@@ -84,21 +80,3 @@
 	}
 	return slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: l}))
 }
-
-// exitCode returns the documented exit code of an error.
-func exitCode(err error) int {
-	switch fault.KindOf(err) {
-	case fault.Invalid, fault.TooLarge:
-		return 2
-	case fault.Conflict, fault.KeyReused:
-		return 3
-	case fault.NotFound:
-		return 4
-	case fault.Unavailable, fault.Draining, fault.Overloaded:
-		return 5
-	case fault.Unknown:
-		return 6
-	default:
-		return 1
-	}
-}
--- /dev/null
+++ b/demo/yard.go
@@ -0,0 +1,151 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/limpetrelay/limpetrelay/dispatch"
+	"github.com/limpetrelay/limpetrelay/entry"
+	"github.com/limpetrelay/limpetrelay/platform"
+	"github.com/limpetrelay/limpetrelay/standin"
+	"github.com/limpetrelay/limpetrelay/upstream"
+)
+
+// yard is the platform, the workers and the entry hosts of the demo.
+type yard struct {
+	log      *standin.Log
+	dir      *standin.Directory
+	platform string
+	workers  map[string]*standin.Worker
+	hosts    map[string]*host
+	servers  []*http.Server
+}
+
+// host is a running entry host.
+type host struct {
+	*entry.Host
+	address string
+	stop    context.CancelFunc
+	ended   chan error
+}
+
+// newYard starts the platform.
+func newYard() (*yard, error) {
+	y := &yard{
+		log: &standin.Log{}, dir: &standin.Directory{Lag: 200 * time.Millisecond},
+		workers: map[string]*standin.Worker{}, hosts: map[string]*host{},
+	}
+	mux := http.NewServeMux()
+	platform.Register(mux, y.log.Platform(), y.dir.Platform())
+	var err error
+	y.platform, err = y.serve(mux)
+	return y, err
+}
+
+// serve serves mux on a free port of loopback and returns its address.
+func (y *yard) serve(mux http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "listen on loopback")
+	}
+	const headerTimeout = 5 * time.Second
+	s := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	y.servers = append(y.servers, s)
+	go func() { _ = s.Serve(l) }()
+	return l.Addr().String(), nil
+}
+
+// addWorkers starts n workers of a data centre, eight per rack.
+func (y *yard) addWorkers(dc string, n int) error {
+	for i := range n {
+		name := fmt.Sprintf("%s-w%d", dc, i)
+		w := &standin.Worker{Name: name, DataCentre: dc, Rack: fmt.Sprintf("%s-r%d", dc, i/8), Incarnation: name + ".1"}
+		mux := http.NewServeMux()
+		upstream.Register(mux, w.Upstream())
+		a, err := y.serve(mux)
+		if err != nil {
+			return err
+		}
+		y.workers[name] = w
+		y.dir.Set(platform.Host{Name: name, Kind: platform.KindWorker, DataCentre: dc, Address: a})
+	}
+	return nil
+}
+
+// addHost starts an entry host.
+func (y *yard) addHost(ctx context.Context, name, dc string) error {
+	var a entry.Addresses
+	var err error
+	if a.Callers, err = freeAddress(); err != nil {
+		return err
+	}
+	if a.Peers, err = freeAddress(); err != nil {
+		return err
+	}
+	h := &entry.Host{Settings: entry.Settings{
+		Settings: dispatch.Settings{Host: name, DataCentre: dc, Incarnation: fmt.Sprintf("%s.%d", name, time.Now().UnixNano())},
+		Logger:   slog.New(slog.DiscardHandler),
+	}}
+	h.Seams = entry.NetworkSeams("http://"+y.platform, nil)
+	ctx, stop := context.WithCancel(ctx)
+	r := &host{Host: h, address: "http://" + a.Callers, stop: stop, ended: make(chan error, 1)}
+	y.hosts[name] = r
+	go func() { r.ended <- h.Serve(ctx, a) }()
+	y.dir.Set(platform.Host{Name: name, Kind: platform.KindEntry, DataCentre: dc, Address: a.Peers})
+	return nil
+}
+
+// removeHost drains an entry host and waits for its end.
+func (y *yard) removeHost(name string) error {
+	h := y.hosts[name]
+	delete(y.hosts, name)
+	y.dir.Remove(name)
+	h.stop()
+	return <-h.ended
+}
+
+// stop ends everything.
+func (y *yard) stop() {
+	for _, h := range y.hosts {
+		h.stop()
+	}
+	for _, h := range y.hosts {
+		<-h.ended
+	}
+	for _, s := range y.servers {
+		_ = s.Close()
+	}
+}
+
+// until waits for ok.
+func until(ctx context.Context, what string, ok func() bool) error {
+	const patience = 20 * time.Second
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	t := time.NewTicker(20 * time.Millisecond)
+	defer t.Stop()
+	for !ok() {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return errors.Newf("waited in vain until %s", what)
+		}
+	}
+	return nil
+}
+
+// freeAddress returns an address of loopback that was free a moment ago.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "find a free port")
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -43,6 +43,8 @@
 	// unanswered.
 	sentAt   int64
 	inFlight bool
+	// failed is set when the last heartbeat was not answered.
+	failed bool
 	// recorded is set while a record about the worker is on its way.
 	recorded bool
 	// ejections counts them, and ejectedUntil is the end of the last one.
@@ -108,20 +110,34 @@
 func (s *State) beat() {
 	for _, n := range s.workerNames() {
 		v := s.view(n)
-		if v.inFlight || v.sentAt != 0 && s.now-v.sentAt < s.HeartbeatEvery {
+		if v.inFlight || v.sentAt != 0 && s.now-v.sentAt < s.beatGap(v) {
 			continue
 		}
 		v.inFlight, v.sentAt = true, s.now
-		h := upstream.Heartbeat{Term: s.term(), Seen: v.report.Revision, Renew: s.renewals(n), Forget: v.forget}
+		h := upstream.Heartbeat{Term: s.term(), Seen: v.report.Revision, Renew: s.renewals(n), Forget: v.forget, Wait: s.HeartbeatEvery}
 		v.forget = nil
 		s.emit(Effect{Heartbeat: &HeartbeatCall{Worker: n, Address: s.address(n), Heartbeat: h}})
 	}
 }
 
+// leastGap is the least time between two heartbeats to a worker, in
+// milliseconds.
+const leastGap = 50
+
+// beatGap returns the least time between two heartbeats to a worker. The
+// worker holds its answer until there is news, so that ends are heard of at
+// once; a worker that fails to answer is not asked again at once.
+func (s *State) beatGap(v *workerView) int64 {
+	if v.failed {
+		return s.HeartbeatEvery
+	}
+	return leastGap
+}
+
 // onHeartbeat takes a worker's report.
 func (s *State) onHeartbeat(e *HeartbeatDone) {
 	v := s.view(e.Worker)
-	v.inFlight = false
+	v.inFlight, v.failed = false, e.Err != nil
 	if !s.leading {
 		return
 	}
--- a/entry/api.go
+++ b/entry/api.go
@@ -351,16 +351,16 @@
 // errorResponse is the body of every refusal.
 type errorResponse struct {
 	Error *fault.Error `json:"error"`
-	// Outcome tells callers of jobs what became of the request.
-	Outcome job.Result `json:"outcome"`
+	// Result tells callers of jobs what became of the request.
+	Result job.Result `json:"result"`
 }
 
 // writeError writes a refusal. The outcome is notRun when nothing was done.
 func writeError(w http.ResponseWriter, err error) {
 	e := fault.As(err)
-	res := errorResponse{Error: e, Outcome: job.Unknown}
+	res := errorResponse{Error: e, Result: job.Unknown}
 	if fault.NothingDone(err) {
-		res.Outcome = job.NotRun
+		res.Result = job.NotRun
 	}
 	writeJSON(w, statusOf(e.Kind), res)
 }
--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -8,25 +8,16 @@
 	"sync"
 	"time"
 
+	"github.com/limpetrelay/limpetrelay/audit"
 	"github.com/limpetrelay/limpetrelay/config"
 	"github.com/limpetrelay/limpetrelay/dispatch"
 	"github.com/limpetrelay/limpetrelay/fault"
 	"github.com/limpetrelay/limpetrelay/job"
 	"github.com/limpetrelay/limpetrelay/platform"
 	"github.com/limpetrelay/limpetrelay/rack"
+	"github.com/limpetrelay/limpetrelay/standin"
 )
 
-// told is what a caller was told about one request.
-type told struct {
-	echo string
-	spec job.Spec
-	job  string
-	// results lists every definite result, in order.
-	results []job.Result
-	output  string
-	errors  []string
-}
-
 // callers plays callers and operators.
 type callers struct {
 	w    *world
@@ -34,10 +25,9 @@
 	wg   sync.WaitGroup
 
 	mu   sync.Mutex
-	told []*told
+	told []*audit.Told
 	// versions holds the numbers that accepted patches yielded.
 	versions []uint64
-	lost     int
 }
 
 // newCallers returns callers with random choices from a seed.
@@ -75,10 +65,10 @@
 }
 
 // newRequest draws a request.
-func (c *callers) newRequest(echo string, rnd *rand.Rand) *told {
+func (c *callers) newRequest(echo string, rnd *rand.Rand) *audit.Told {
 	org := []string{"acme", "lender"}[rnd.IntN(2)]
-	t := &told{echo: echo, spec: spec(org, "class"+fmt.Sprint(rnd.IntN(3)), echo, 20+rnd.Int64N(3000))}
-	s := &t.spec
+	t := &audit.Told{Echo: echo, Spec: spec(org, "class"+fmt.Sprint(rnd.IntN(3)), echo, 20+rnd.Int64N(3000))}
+	s := &t.Spec
 	s.Accelerators = 1 << rnd.IntN(4)
 	switch rnd.IntN(5) {
 	case 0:
@@ -97,19 +87,19 @@
 
 // follow submits a request and, when it has a key and the outcome is not
 // definite, asks again at other hosts.
-func (c *callers) follow(ctx context.Context, t *told, rnd *rand.Rand) {
+func (c *callers) follow(ctx context.Context, t *audit.Told, rnd *rand.Rand) {
 	for try := 0; try < 4 && ctx.Err() == nil; try++ {
 		hosts := c.w.hostNames()
 		if len(hosts) == 0 {
 			pause(ctx, time.Second)
 			continue
 		}
-		r, err := c.w.submit(hosts[rnd.IntN(len(hosts))], t.spec, time.Duration(4000+rnd.IntN(8000))*time.Millisecond)
+		r, err := c.w.submit(hosts[rnd.IntN(len(hosts))], t.Spec, time.Duration(4000+rnd.IntN(8000))*time.Millisecond)
 		c.note(t, &r, err)
-		if r.Outcome != nil && r.Outcome.Result != job.Unknown || t.spec.Key == "" {
+		if r.Outcome != nil && r.Outcome.Result != job.Unknown || t.Spec.Key == "" {
 			return
 		}
-		if t.job != "" && rnd.IntN(6) == 0 {
+		if t.Job != "" && rnd.IntN(6) == 0 {
 			c.cancel(t, hosts[rnd.IntN(len(hosts))])
 		}
 		pause(ctx, time.Duration(rnd.IntN(3000))*time.Millisecond)
@@ -117,30 +107,30 @@
 }
 
 // note keeps what a caller was told.
-func (c *callers) note(t *told, r *dispatch.Reply, err error) {
+func (c *callers) note(t *audit.Told, r *dispatch.Reply, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
-		t.errors = append(t.errors, err.Error())
-		if t.spec.Key == "" && fault.NothingDone(err) {
-			t.results = append(t.results, job.NotRun)
+		t.Errors = append(t.Errors, err.Error())
+		if t.Spec.Key == "" && fault.NothingDone(err) {
+			t.Results = append(t.Results, job.NotRun)
 		}
 		return
 	}
 	if r.Job != "" {
-		t.job = r.Job
+		t.Job = r.Job
 	}
 	if r.Outcome == nil {
 		return
 	}
-	t.results = append(t.results, r.Outcome.Result)
+	t.Results = append(t.Results, r.Outcome.Result)
 	if r.Output != nil {
-		t.output = string(r.Output)
+		t.Output = string(r.Output)
 	}
 }
 
 // cancel cancels a job.
-func (c *callers) cancel(t *told, host string) {
+func (c *callers) cancel(t *audit.Told, host string) {
 	r := c.w.host(host)
 	if r == nil {
 		return
@@ -148,7 +138,7 @@
 	ctx, cancel := context.WithTimeout(c.w.ctx, 20*time.Second)
 	defer cancel()
 	rep, err := r.Ask(ctx, func(id string) dispatch.Event {
-		return dispatch.Event{Cancel: &dispatch.Cancel{Waiter: id, Job: t.job, By: "caller"}}
+		return dispatch.Event{Cancel: &dispatch.Cancel{Waiter: id, Job: t.Job, By: "caller"}}
 	})
 	c.note(t, &rep, err)
 }
@@ -194,13 +184,13 @@
 
 // heal undoes every fault and waits until the system is quiet.
 func (w *world) heal() {
-	w.log.SetFaults(standinNoFaults)
+	w.log.SetFaults(standin.LogFaults{})
 	w.dir.SetDown(false)
 	w.mu.Lock()
 	clear(w.cuts)
 	w.mu.Unlock()
 	for name, wk := range w.workers {
-		wk.SetFaults(noWorkerFaults)
+		wk.SetFaults(standin.WorkerFaults{})
 		wk.SetLeaving(false)
 		w.listWorker(name, strings.SplitN(name, "-", 2)[0])
 	}
--- a/entry/host.go
+++ b/entry/host.go
@@ -13,6 +13,7 @@
 	"github.com/limpetrelay/limpetrelay/measure"
 	"github.com/limpetrelay/limpetrelay/peer"
 	"github.com/limpetrelay/limpetrelay/platform"
+	"github.com/limpetrelay/limpetrelay/record"
 	"github.com/limpetrelay/limpetrelay/upstream"
 )
 
@@ -311,3 +312,24 @@
 func ended() error {
 	return fault.New(fault.Unknown, "this host has ended", "ask for the request by its key at another host")
 }
+
+// LiveWorkers returns the number of live workers that the host knows of.
+func (h *Host) LiveWorkers(ctx context.Context) int {
+	n := 0
+	h.inspect(ctx, func(s *dispatch.State) {
+		for _, w := range s.Ledger.Workers {
+			if w.State == record.Live {
+				n++
+			}
+		}
+	})
+	return n
+}
+
+// Fragmentation returns, per cell level, the share of free slots in the data
+// centre that cells of that level cannot use.
+func (h *Host) Fragmentation() map[string]float64 {
+	var m map[string]float64
+	h.inspect(context.Background(), func(s *dispatch.State) { m = s.Fragmentation() })
+	return m
+}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	klog "github.com/go-kratos/kratos/v2/log"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"github.com/limpetrelay/limpetrelay/peer"
@@ -32,6 +34,7 @@
 // leaves.
 func (h *Host) Serve(ctx context.Context, a Addresses) error {
 	h.init()
+	klog.SetLogger(kratosLogger{h.Logger})
 	callers, peers := http.NewServeMux(), http.NewServeMux()
 	h.Routes(callers)
 	peer.Register(peers, peer.Peer{Tail: h.Tail, Fetch: h.Fetch})
@@ -98,6 +101,24 @@
 	return Seams{Log: log, Directory: dir, Worker: workers.get, Peer: peers.get}
 }
 
+// kratosLogger writes kratos' own log lines as JSON lines.
+type kratosLogger struct{ *slog.Logger }
+
+// Log implements kratos' logger.
+func (l kratosLogger) Log(level klog.Level, keyvals ...any) error {
+	s := slog.LevelInfo
+	switch level {
+	case klog.LevelDebug:
+		s = slog.LevelDebug
+	case klog.LevelWarn:
+		s = slog.LevelWarn
+	case klog.LevelError, klog.LevelFatal:
+		s = slog.LevelError
+	}
+	l.Logger.Log(context.Background(), s, "kratos", keyvals...)
+	return nil
+}
+
 // cached keeps one set of calls per address.
 type cached[T any] struct {
 	client *http.Client
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -49,9 +49,9 @@
 }
 
 // newWorld returns an empty world whose log is in data centre home.
-func newWorld(ctx context.Context, t testing.TB, home string) *world {
+func newWorld(ctx context.Context, tb testing.TB, home string) *world {
 	return &world{
-		t: t, ctx: ctx, home: home, log: &standin.Log{}, dir: &standin.Directory{Lag: time.Second},
+		t: tb, ctx: ctx, home: home, log: &standin.Log{}, dir: &standin.Directory{Lag: time.Second},
 		workers: map[string]*standin.Worker{}, hosts: map[string]*running{}, cuts: map[string]bool{}, dcOf: map[string]string{},
 	}
 }
@@ -292,7 +292,7 @@
 	const t = upstream.CallTimeout
 	return upstream.Worker{
 		Heartbeat: func(ctx context.Context, a upstream.Heartbeat) (upstream.Report, error) {
-			return over(ctx, w, r, name, to, t, func(ctx context.Context) (upstream.Report, error) { return u.Heartbeat(ctx, a) })
+			return over(ctx, w, r, name, to, t+time.Duration(a.Wait)*time.Millisecond, func(ctx context.Context) (upstream.Report, error) { return u.Heartbeat(ctx, a) })
 		},
 		Reserve: func(ctx context.Context, a upstream.Order) (upstream.TaskReport, error) {
 			return over(ctx, w, r, name, to, t, func(ctx context.Context) (upstream.TaskReport, error) { return u.Reserve(ctx, a) })
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -100,6 +100,8 @@
 	used     rack.Mask
 	tasks    map[string]*task
 	history  []Interval
+	// news is closed and replaced when a task of a placer ends.
+	news chan struct{}
 	// progress is the saved run time per job and member, in milliseconds.
 	progress map[string]int64
 }
@@ -129,6 +131,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.leaving = leaving
+	if w.news != nil {
+		close(w.news)
+		w.news = nil
+	}
 }
 
 // Kill ends the worker and all of its tasks.
@@ -159,9 +165,7 @@
 // Upstream returns the calls of w.
 func (w *Worker) Upstream() upstream.Worker {
 	return upstream.Worker{
-		Heartbeat: func(ctx context.Context, h upstream.Heartbeat) (upstream.Report, error) {
-			return guarded(ctx, w, func() (upstream.Report, error) { return w.heartbeat(h) })
-		},
+		Heartbeat: w.heartbeat,
 		Reserve: func(ctx context.Context, o upstream.Order) (upstream.TaskReport, error) {
 			return guarded(ctx, w, func() (upstream.TaskReport, error) { return w.reserve(o, false) })
 		},
@@ -197,12 +201,30 @@
 	return res, err
 }
 
-// heartbeat renews leases and reports.
-func (w *Worker) heartbeat(h upstream.Heartbeat) (upstream.Report, error) {
+// heartbeat renews leases, waits for news and reports.
+func (w *Worker) heartbeat(ctx context.Context, h upstream.Heartbeat) (upstream.Report, error) {
+	news, err := guarded(ctx, w, func() (chan struct{}, error) { return w.renewAll(h) })
+	if err != nil {
+		return upstream.Report{}, err
+	}
+	t := time.NewTimer(time.Duration(h.Wait) * time.Millisecond)
+	defer t.Stop()
+	select {
+	case <-news:
+	case <-t.C:
+	case <-ctx.Done():
+		return upstream.Report{}, lost()
+	}
+	return guarded(ctx, w, func() (upstream.Report, error) { return w.report(h), nil })
+}
+
+// renewAll renews leases and returns a channel that is closed when a task of a
+// placer ends, or already closed when there is news.
+func (w *Worker) renewAll(h upstream.Heartbeat) (chan struct{}, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.fence(h.Term); err != nil {
-		return upstream.Report{}, err
+		return nil, err
 	}
 	for _, id := range h.Renew {
 		if t := w.tasks[id]; t != nil && t.State != upstream.Ended {
@@ -214,6 +236,23 @@
 			t.revision = 0
 		}
 	}
+	for _, t := range w.tasks {
+		if !t.Small && t.State == upstream.Ended && t.revision > h.Seen {
+			news := make(chan struct{})
+			close(news)
+			return news, nil
+		}
+	}
+	if w.news == nil {
+		w.news = make(chan struct{})
+	}
+	return w.news, nil
+}
+
+// report returns the tasks that changed since the revision asked for.
+func (w *Worker) report(h upstream.Heartbeat) upstream.Report {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	r := upstream.Report{
 		Worker: w.Name, Incarnation: w.Incarnation, DataCentre: w.DataCentre, Rack: w.Rack,
 		Slots: w.slots(), Accelerated: !w.Plain, Leaving: w.leaving,
@@ -224,7 +263,7 @@
 			r.Tasks = append(r.Tasks, t.TaskReport)
 		}
 	}
-	return r, nil
+	return r
 }
 
 // reserve holds a cell.
@@ -488,6 +527,10 @@
 	}
 	w.touch(t)
 	close(t.done)
+	if w.news != nil && !t.Small {
+		close(w.news)
+		w.news = nil
+	}
 }
 
 // save keeps the progress of t for a resumed attempt.
--- a/upstream/calls.go
+++ b/upstream/calls.go
@@ -59,7 +59,7 @@
 	output := client[outputRequest, OutputPart](c, base, "output")
 	return Worker{
 		Heartbeat: func(ctx context.Context, h Heartbeat) (Report, error) {
-			return heartbeat(ctx, &heartbeatRequest{h}, 0)
+			return heartbeat(ctx, &heartbeatRequest{h}, h.Wait)
 		},
 		Reserve: func(ctx context.Context, o Order) (TaskReport, error) {
 			return reserve(ctx, &reserveRequest{o}, 0)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -96,6 +96,9 @@
 	// Seen is the revision of the last report; tasks that have not changed
 	// since are left out. 0 asks for all tasks.
 	Seen uint64 `cbor:"s,omitempty"`
+	// Wait is how long the worker may hold the answer, in milliseconds. It
+	// answers at once when a task of a placer ends.
+	Wait int64 `cbor:"w,omitempty"`
 }
 
 // Report is a worker's view of itself.
