--- a/demo/demo.go
+++ b/demo/demo.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/limpetrelay/limpetrelay/audit"
 	"github.com/limpetrelay/limpetrelay/config"
 	"github.com/limpetrelay/limpetrelay/job"
@@ -32,12 +34,12 @@
 }
 
 // Run plays the day and writes progress and tables to w.
-func Run(ctx context.Context, w io.Writer) (Result, error) {
+func Run(ctx context.Context, w io.Writer) (sum Result, err error) {
 	y, err := newYard()
 	if err != nil {
-		return Result{}, err
+		return sum, err
 	}
-	defer y.stop()
+	defer func() { err = errors.CombineErrors(err, y.stop()) }()
 	began := time.Now()
 	d := &day{yard: y, out: func(format string, args ...any) {
 		_, _ = fmt.Fprintf(w, "%6.1fs  %s\n", time.Since(began).Seconds(), fmt.Sprintf(format, args...))
@@ -46,7 +48,7 @@
 		d.open, d.smallWork, d.onceOnly, d.reclaim, d.brokenGang, d.renders, d.logOutage, d.rolling,
 	} {
 		if err := act(ctx); err != nil {
-			return Result{}, err
+			return sum, err
 		}
 		d.sample(time.Since(began))
 	}
--- a/demo/yard.go
+++ b/demo/yard.go
@@ -111,16 +111,18 @@
 }
 
 // stop ends everything.
-func (y *yard) stop() {
+func (y *yard) stop() error {
+	var err error
 	for _, h := range y.hosts {
 		h.stop()
 	}
 	for _, h := range y.hosts {
-		_ = <-h.ended
+		err = errors.CombineErrors(err, <-h.ended)
 	}
 	for _, s := range y.servers {
-		_ = s.Close()
+		err = errors.CombineErrors(err, s.Close())
 	}
+	return err
 }
 
 // until waits for ok.
--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -45,7 +45,7 @@
 			w.startHost(h, "a")
 		}
 		require.True(t, w.settled(8), "the world does not settle")
-		require.NoError(t, w.organise("a-e0", "a", map[string]rack.Shape{"acme": {rack.LevelWorker: 4}, "lender": {}}))
+		require.NoError(t, w.organise("a-e0", map[string]rack.Shape{"acme": {rack.LevelWorker: 4}, "lender": {}}))
 		fn(t, w)
 		require.Empty(t, w.broken)
 	})
--- a/entry/guarantee_test.go
+++ b/entry/guarantee_test.go
@@ -95,17 +95,17 @@
 // TestGuaranteeIsRefused submits a guarantee that the racks cannot hold whole.
 func TestGuaranteeIsRefused(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
-		err := w.organise("a-e1", "a", map[string]rack.Shape{"greedy": {rack.LevelRack: 1}})
+		err := w.organise("a-e1", map[string]rack.Shape{"greedy": {rack.LevelRack: 1}})
 		require.ErrorContains(t, err, "1 rack live and whole")
 		require.ErrorContains(t, err, "cannot be held")
-		require.NoError(t, w.organise("a-e1", "a", map[string]rack.Shape{"modest": {rack.LevelWorker: 4}}))
+		require.NoError(t, w.organise("a-e1", map[string]rack.Shape{"modest": {rack.LevelWorker: 4}}))
 	})
 }
 
 // TestNoOrganisationStarves claims both halves of a full data centre.
 func TestNoOrganisationStarves(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
-		require.NoError(t, w.organise("a-e0", "a", map[string]rack.Shape{"lender": {rack.LevelWorker: 4}}))
+		require.NoError(t, w.organise("a-e0", map[string]rack.Shape{"lender": {rack.LevelWorker: 4}}))
 		borrowAll(t, w)
 		r, err := w.submit("a-e1", claim(), 30*time.Second)
 		require.NoError(t, err)
--- a/entry/organisations_test.go
+++ b/entry/organisations_test.go
@@ -12,13 +12,13 @@
 	"github.com/limpetrelay/limpetrelay/standin"
 )
 
-// organise creates organisations with guarantees in a data centre through a
-// host, and waits until every host has the version.
-func (w *world) organise(host, dc string, guarantees map[string]rack.Shape) error {
+// organise creates organisations with guarantees in the home data centre
+// through a host, and waits until every host has the version.
+func (w *world) organise(host string, guarantees map[string]rack.Shape) error {
 	p := config.Patch{Author: "op"}
 	for o, s := range guarantees {
 		p.Changes = append(p.Changes, config.Change{SetOrganisation: &config.NamedOrganisation{
-			Name: o, Organisation: config.Organisation{Guarantee: map[string]rack.Shape{dc: s}},
+			Name: o, Organisation: config.Organisation{Guarantee: map[string]rack.Shape{w.home: s}},
 		}})
 	}
 	p.Base = w.host(host).View().Version
--- a/entry/soak_test.go
+++ b/entry/soak_test.go
@@ -101,7 +101,7 @@
 		w.stop()
 		return []string{"the world does not settle"}
 	}
-	if err := w.organise("a-e0", "a", map[string]rack.Shape{"acme": {rack.LevelWorker: 4}, "lender": {rack.LevelWorker: 1}}); err != nil {
+	if err := w.organise("a-e0", map[string]rack.Shape{"acme": {rack.LevelWorker: 4}, "lender": {rack.LevelWorker: 1}}); err != nil {
 		w.stop()
 		return []string{err.Error()}
 	}
