--- /dev/null
+++ b/entry/history_test.go
@@ -0,0 +1,213 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetrelay/limpetrelay/config"
+	"github.com/limpetrelay/limpetrelay/fault"
+	"github.com/limpetrelay/limpetrelay/job"
+	"github.com/limpetrelay/limpetrelay/standin"
+)
+
+// operation is the input of one operation in a history.
+type operation struct {
+	// base is the base version of a patch.
+	base uint64
+	// key is the key of a claim; empty for patches.
+	key string
+}
+
+// verdict is the output of one operation.
+type verdict struct {
+	// kind is the error's, empty for success.
+	kind    fault.Kind
+	version uint64
+	job     string
+}
+
+// versionModel is the configuration: a patch against the current version
+// yields the next, and any other is a conflict.
+var versionModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{uint64(0)} },
+	Step: func(state, input, output any) []any {
+		v, in, out := state.(uint64), input.(operation), output.(verdict)
+		switch out.kind {
+		case "":
+			if in.base == v && out.version == v+1 {
+				return []any{v + 1}
+			}
+			return nil
+		case fault.Conflict:
+			if in.base == v {
+				return nil
+			}
+			return []any{v}
+		case fault.Unknown:
+			if in.base == v {
+				return []any{v, v + 1}
+			}
+			return []any{v}
+		default:
+			return []any{v}
+		}
+	},
+}
+
+// claimModel is the memory of keys: the first claim names the job.
+var claimModel = porcupine.NondeterministicModel{
+	Partition: func(ops []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[string][]porcupine.Operation{}
+		for _, o := range ops {
+			k := o.Input.(operation).key
+			byKey[k] = append(byKey[k], o)
+		}
+		var parts [][]porcupine.Operation
+		for _, p := range byKey {
+			parts = append(parts, p)
+		}
+		return parts
+	},
+	Init: func() []any { return []any{""} },
+	Step: func(state, _, output any) []any {
+		id, out := state.(string), output.(verdict)
+		switch {
+		case out.kind == "" && (id == "" || id == out.job):
+			return []any{out.job}
+		case out.kind == "":
+			return nil
+		default:
+			// The claim of a lost answer names a job that nobody was told, so any
+			// later answer may be the first one heard.
+			return []any{id}
+		}
+	},
+}
+
+// recorder collects a history.
+type recorder struct {
+	mu    sync.Mutex
+	began time.Time
+	ops   []porcupine.Operation
+}
+
+// do runs one operation and records it. An unknown outcome never returns.
+func (r *recorder) do(client int, in operation, fn func() verdict) {
+	call := time.Since(r.began).Nanoseconds()
+	out := fn()
+	end := time.Since(r.began).Nanoseconds()
+	if out.kind == fault.Unknown {
+		end = int64(time.Hour) * 1000
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ops = append(r.ops, porcupine.Operation{ClientId: client, Input: in, Output: out, Call: call, Return: end})
+}
+
+// logTrouble changes the log's faults now and then until ctx ends.
+func (w *world) logTrouble(ctx context.Context, seed uint64) {
+	rnd := rand.New(rand.NewPCG(seed, 3))
+	for ctx.Err() == nil {
+		pause(ctx, time.Duration(rnd.IntN(4000))*time.Millisecond)
+		w.log.SetFaults([]standin.LogFaults{
+			{}, {}, {Down: true}, {LoseAnswers: true}, {LoseAnswers: true, LateApply: 700 * time.Millisecond}, {Delay: 200 * time.Millisecond},
+		}[rnd.IntN(6)])
+	}
+	w.log.SetFaults(standin.LogFaults{})
+}
+
+// history races operations of six clients at three hosts under log faults and
+// returns what they were told.
+func (w *world) history(seed uint64, fn func(r *recorder, client int, host string, rnd *rand.Rand)) []porcupine.Operation {
+	ctx, cancel := context.WithTimeout(w.ctx, time.Minute)
+	defer cancel()
+	r := &recorder{began: time.Now()}
+	var wg sync.WaitGroup
+	for i := range 6 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			rnd := rand.New(rand.NewPCG(seed, uint64(i)))
+			for ctx.Err() == nil {
+				pause(ctx, time.Duration(rnd.IntN(1000))*time.Millisecond)
+				fn(r, i, w.hostNames()[rnd.IntN(3)], rnd)
+			}
+		}()
+	}
+	w.logTrouble(ctx, seed)
+	wg.Wait()
+	return r.ops
+}
+
+func TestConfigurationIsLinearizable(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			inWorld(t, func(t *testing.T, w *world) {
+				ops := w.history(seed, func(r *recorder, client int, host string, rnd *rand.Rand) {
+					base := w.host(host).View().Version
+					if rnd.IntN(5) == 0 {
+						base += uint64(rnd.IntN(3)) - 1
+					}
+					r.do(client, operation{base: base - 1}, func() verdict {
+						rep, err := w.patch(host, config.Patch{Base: base, Author: "op", Changes: []config.Change{
+							{SetClass: &config.NamedClass{Name: "c", Class: config.Class{Priority: client}}},
+						}})
+						return verdict{kind: fault.KindOf(err), version: rep.Version - 1}
+					})
+				})
+				// The world's own first patch made version 1, which counts as 0.
+				res, _ := porcupine.CheckOperationsVerbose(versionModel.ToModel(), ops, time.Minute)
+				require.Equal(t, porcupine.Ok, res, "%d operations", len(ops))
+				t.Logf("%d operations, version %d", len(ops), w.host("a-e0").View().Version)
+			})
+		})
+	}
+}
+
+func TestClaimsAreLinearizable(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			inWorld(t, func(t *testing.T, w *world) {
+				ops := w.history(seed, func(r *recorder, client int, host string, rnd *rand.Rand) {
+					key := fmt.Sprintf("k%d", rnd.IntN(20))
+					r.do(client, operation{key: key}, func() verdict {
+						s := spec("acme", "reconciliation", key, 100)
+						s.Once, s.Key = true, key
+						rep, err := w.submit(host, s, 0)
+						return verdict{kind: fault.KindOf(err), job: rep.Job}
+					})
+				})
+				res, _ := porcupine.CheckOperationsVerbose(claimModel.ToModel(), ops, time.Minute)
+				require.Equal(t, porcupine.Ok, res, "%d operations", len(ops))
+				time.Sleep(time.Minute)
+				for k := range 20 {
+					require.LessOrEqual(t, w.runsOf(fmt.Sprintf("k%d", k)), 1)
+				}
+				t.Logf("%d operations", len(ops))
+			})
+		})
+	}
+}
+
+// TestLostAppendThenOutage loses the answer to an append and then has the log
+// refuse. The caller must not be told that nothing was done.
+func TestLostAppendThenOutage(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.log.SetFaults(standin.LogFaults{LoseAnswers: true, LateApply: 8 * time.Second})
+		w.later(w.ctx, 10*time.Millisecond, func() { w.log.SetFaults(standin.LogFaults{Down: true}) })
+		r, err := w.submit("a-e0", bill(500), 4*time.Second)
+		told := fault.NothingDone(err) || r.Outcome != nil && r.Outcome.Result == job.NotRun
+		time.Sleep(5 * time.Second)
+		w.log.SetFaults(standin.LogFaults{})
+		time.Sleep(20 * time.Second)
+		t.Logf("told %+v %v, ran %d times", r.Outcome, err, w.runsOf("bill"))
+		require.False(t, told && w.runsOf("bill") > 0, "told that nothing was done, and it ran")
+	})
+}
--- a/standin/log.go
+++ b/standin/log.go
@@ -86,9 +86,12 @@
 		return 0, err
 	}
 	if f.LoseAnswers {
-		go l.late(f.LateApply, name, data)
+		time.AfterFunc(f.LateApply, func() { l.apply(name, data) })
 		return 0, fault.New(fault.Unknown, "the log's answer was lost", "read the stream before you repeat")
 	}
+	if err := l.turn(ctx); err != nil {
+		return 0, err
+	}
 	return l.apply(name, data), nil
 }
 
@@ -141,17 +144,8 @@
 	}
 }
 
-// late applies an append whose answer was lost.
-func (l *Log) late(after time.Duration, name string, data []byte) {
-	if after > 0 {
-		time.Sleep(after)
-	}
-	l.apply(name, data)
-}
-
-// apply adds an entry, waiting for its turn under Rate.
+// apply adds an entry.
 func (l *Log) apply(name string, data []byte) uint64 {
-	l.turn()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
@@ -163,9 +157,9 @@
 }
 
 // turn waits for the next turn under Rate.
-func (l *Log) turn() {
+func (l *Log) turn(ctx context.Context) error {
 	if l.Rate == 0 {
-		return
+		return nil
 	}
 	l.mu.Lock()
 	now := time.Now()
@@ -175,7 +169,14 @@
 	wait := l.nextSlot.Sub(now)
 	l.nextSlot = l.nextSlot.Add(time.Second / time.Duration(l.Rate))
 	l.mu.Unlock()
-	time.Sleep(wait)
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return unavailable()
+	}
 }
 
 // page returns the entries from the given offset and a channel that is closed
