--- a/rack/rack_test.go
+++ b/rack/rack_test.go
@@ -156,7 +156,7 @@
 			rnd := rand.New(rand.NewPCG(1, 1))
 			f := forest(n)
 			for i := range f.Nodes {
-				f.Nodes[i].Used = rack.Mask(rnd.IntN(256)) & rack.Mask(rnd.IntN(256))
+				f.Nodes[i].Used = rack.Mask(rnd.IntN(256) & rnd.IntN(256))
 			}
 			b.ReportAllocs()
 			for b.Loop() {
--- a/trial/failure_test.go
+++ b/trial/failure_test.go
@@ -81,7 +81,7 @@
 // ones, while callers send requests through a balancer. None is lost.
 func TestTermUnderLoad(t *testing.T) {
 	c := smallCluster(t)
-	c.addHost("e3", "gulf-a")
+	c.addHost("e3")
 	hosts := &pool{}
 	for _, n := range []string{"e1", "e2", "e3"} {
 		hosts.addresses = append(hosts.addresses, c.hosts[n].address)
@@ -123,7 +123,7 @@
 		case <-time.After(15 * time.Second):
 			require.Fail(t, n+" does not end")
 		}
-		c.addHost("new-"+n, "gulf-a")
+		c.addHost("new-"+n)
 		hosts.replace(p.address, c.hosts["new-"+n].address)
 	}
 	stop.Store(true)
@@ -167,7 +167,7 @@
 	c.hosts["e1"].kill()
 	time.Sleep(500 * time.Millisecond)
 	c.hosts["e2"].kill()
-	c.addHost("e3", "gulf-a")
+	c.addHost("e3")
 	b := c.call("e3", http.MethodPost, "/v1/jobs", body(`,"once":true,"key":"lease-9"`, standin.Work{Run: 4000, Echo: "billed"}, 20000))
 	if b.Error.Kind == "keyReused" {
 		require.Fail(t, "the same request is taken for another")
@@ -219,7 +219,7 @@
 	c.addWorker("w1", "gulf-a", "r1")
 	k := newLink(t, c.workers["w1"].address)
 	c.list(platform.Host{Name: "w1", Kind: platform.KindWorker, DataCentre: "gulf-a", Address: k.address()})
-	c.addHost("e1", "gulf-a")
+	c.addHost("e1")
 	c.eventually("the worker is live", func() bool { return c.live("e1") == 1 })
 	a := c.call("e1", http.MethodPost, "/v1/config/patches", `{"base":0,"author":"op","changes":[{"setOrganisation":{"name":"skimworks"}}]}`)
 	require.EqualValues(t, 1, a.Version, "%+v", a)
--- a/trial/path_test.go
+++ b/trial/path_test.go
@@ -17,8 +17,8 @@
 	c := newCluster(t)
 	c.addWorker("w1", "gulf-a", "r1")
 	c.addWorker("w2", "gulf-a", "r1")
-	c.addHost("e1", "gulf-a")
-	c.addHost("e2", "gulf-a")
+	c.addHost("e1")
+	c.addHost("e2")
 	c.eventually("the workers are live", func() bool { return c.live("e1") == 2 && c.live("e2") == 2 })
 	a := c.call("e2", http.MethodPost, "/v1/config/patches",
 		`{"base":0,"author":"op","changes":[{"setOrganisation":{"name":"skimworks","guarantee":{"gulf-a":{"worker":1}}}}]}`)
--- a/trial/processes_test.go
+++ b/trial/processes_test.go
@@ -82,18 +82,18 @@
 	c.list(platform.Host{Name: name, Kind: platform.KindWorker, DataCentre: dc, Address: a})
 }
 
-// addHost starts an entry host and lists it.
-func (c *cluster) addHost(name, dc string) {
+// addHost starts an entry host of gulf-a and lists it.
+func (c *cluster) addHost(name string) {
 	c.t.Helper()
 	a, p := freeAddress(c.t), freeAddress(c.t)
 	file := filepath.Join(c.t.TempDir(), name+".toml")
 	text := fmt.Sprintf("host = %q\ndataCentre = %q\nregion = \"gulf-south\"\nlisten = %q\npeerListen = %q\nplatform = %q\n",
-		name, dc, a, p, "http://"+c.platform.address)
+		name, "gulf-a", a, p, "http://"+c.platform.address)
 	require.NoError(c.t, os.WriteFile(file, []byte(text), 0o600))
 	h := c.start(name, a, "limpetrelay", "serve", "--settings", file)
 	h.peers = p
 	c.hosts[name] = h
-	c.list(platform.Host{Name: name, Kind: platform.KindEntry, DataCentre: dc, Address: p})
+	c.list(platform.Host{Name: name, Kind: platform.KindEntry, DataCentre: "gulf-a", Address: p})
 	c.eventually(name+" is ready", func() bool { return c.status(name, "/readyz") == http.StatusOK })
 }
 
