--- a/dispatch/schedule.go
+++ b/dispatch/schedule.go
@@ -50,6 +50,7 @@
 	// free holds the accelerated workers and plain the others; slots that
 	// cannot be used now are used.
 	free, plain rack.Forest
+	view        policy.View
 	// covers remembers what covered has found.
 	covers map[coverKey]bool
 	// whole is the round that this one was narrowed from; nil for none.
@@ -109,6 +110,9 @@
 // expected returns the expected run time of a job: what its organisation and
 // class were observed to take, or else what it declares.
 func (s *State) expected(j *ledger.Job) int64 {
+	if s.Policy.Unlearned {
+		return j.Spec.RunTime
+	}
 	k := ledger.LearnedKey(j.Spec.Organisation, j.Spec.Class)
 	if ms, ok := s.Ledger.Learned[k].Quantile(runTimeQuantile, leastObserved); ok {
 		return ms
@@ -136,9 +140,31 @@
 	for _, n := range s.Ledger.WorkerNames(s.DataCentre) {
 		s.addNode(r, n, held[n])
 	}
+	r.view = s.policyView(r)
 	return r
 }
 
+// policyView returns what the policy's Rank may know.
+func (s *State) policyView(r *planning) policy.View {
+	v := policy.View{RackUsed: map[string]int{}, RackUntil: map[string]int64{}}
+	for i := range r.free.Nodes {
+		v.RackUsed[r.free.Nodes[i].Rack] += r.free.Nodes[i].Used.Count()
+	}
+	for _, d := range s.drives {
+		j := s.Ledger.Jobs[d.job]
+		if j == nil {
+			continue
+		}
+		left := max(0, s.expected(j)-(s.now-d.placedAt))
+		for _, m := range j.Members {
+			if w := s.Ledger.Workers[m.Worker]; w != nil {
+				v.RackUntil[w.Rack] = max(v.RackUntil[w.Rack], left)
+			}
+		}
+	}
+	return v
+}
+
 // addNode enters a worker into the forests of a round.
 func (s *State) addNode(r *planning, name string, held rack.Mask) {
 	usable := s.usable(name)
@@ -184,7 +210,7 @@
 	if len(j.FailedOn) > 0 {
 		r = r.without(j.FailedOn)
 	}
-	if abstract, ok := r.plan.Guarantee(c.Organisation, c.Need); ok {
+	if abstract, ok := r.plan.Guarantee(c.Organisation, c.Need); ok && !r.policy.NoReclaim {
 		if s.placeGuaranteed(r, c, j, abstract) {
 			return true
 		}
@@ -237,7 +263,7 @@
 // placeGuaranteed places a job within its organisation's guarantee: on free
 // cells, or by reclaiming cells from borrowers.
 func (s *State) placeGuaranteed(r *planning, c *policy.Candidate, j *ledger.Job, abstract []rack.Cell) bool {
-	rank := r.policy.Rank(c, r.weights)
+	rank := r.policy.Rank(c, &r.view, r.weights)
 	if cells, ok := r.free.Place(c.Need, rank); ok && r.plan.Keeps(c.Organisation, cells, abstract) {
 		s.writePlace(r, j, cells, abstract)
 		return true
@@ -254,7 +280,7 @@
 
 // placeFree places a job as a borrower on free cells.
 func (s *State) placeFree(r *planning, c *policy.Candidate, j *ledger.Job) bool {
-	rank := r.policy.Rank(c, r.weights)
+	rank := r.policy.Rank(c, &r.view, r.weights)
 	if j.Spec.Accelerators == 0 {
 		if cells, ok := r.plain.Place(c.Need, rank); ok && s.trialAllows(j, cells) {
 			s.writePlace(r, j, cells, nil)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 
 	"github.com/limpetrelay/limpetrelay/rack"
@@ -39,7 +40,11 @@
 	// Order sorts the candidates, first to be placed first.
 	Order func(q []Candidate, w Weights)
 	// Rank orders the nodes for a member of c; smaller is taken first.
-	Rank func(c *Candidate, w Weights) rack.Rank
+	Rank func(c *Candidate, v *View, w Weights) rack.Rank
+	// Unlearned expects what jobs declare, instead of what was observed.
+	Unlearned bool
+	// NoReclaim ignores guarantees: nobody is stopped for anybody.
+	NoReclaim bool
 	// Strict stops at the first candidate that does not fit.
 	Strict bool
 	// NoGangHold turns off the reservation for aged gangs.
@@ -48,22 +53,56 @@
 
 // FirstFit is first come first served on the first cell that fits.
 var FirstFit = Policy{
-	Name: "firstFit", Order: byAge, Strict: true, NoGangHold: true,
-	Rank: func(*Candidate, Weights) rack.Rank { return rack.FirstFit },
+	Name: "firstFit", Order: byAge, Strict: true, NoGangHold: true, NoReclaim: true,
+	Rank: func(*Candidate, *View, Weights) rack.Rank { return rack.FirstFit },
 }
 
 // BestFit is first come first served on the tightest cell, passing over what
 // does not fit.
 var BestFit = Policy{
-	Name: "bestFit", Order: byAge, NoGangHold: true,
-	Rank: func(*Candidate, Weights) rack.Rank { return rack.BestFit },
+	Name: "bestFit", Order: byAge, NoGangHold: true, NoReclaim: true,
+	Rank: func(*Candidate, *View, Weights) rack.Rank { return rack.BestFit },
 }
 
 // Cells orders by urgency, guarantee, priority and expected run time with
 // ageing, packs small work onto broken cells and holds cells for aged gangs.
-var Cells = Policy{
-	Name: "cells", Order: byWorth,
-	Rank: func(*Candidate, Weights) rack.Rank { return rack.BestFit },
+var Cells = Policy{Name: "cells", Order: byWorth, Rank: packed}
+
+// CellsUnlearned is Cells without learning from observed run times.
+var CellsUnlearned = Policy{Name: "cellsUnlearned", Order: byWorth, Rank: packed, Unlearned: true}
+
+// View is what a Rank may know of a data centre.
+type View struct {
+	// RackUsed is the number of slots in use per rack.
+	RackUsed map[string]int
+	// RackUntil is, per rack, when its jobs are expected to have ended, in
+	// milliseconds from now.
+	RackUntil map[string]int64
+}
+
+// packed breaks the smallest block first, a whole free rack last of all, and
+// among equals takes the rack whose jobs end at about the same time, so that
+// racks become whole again together. With a larger fragmentation weight the
+// fuller rack goes before the better match in time.
+func packed(c *Candidate, v *View, w Weights) rack.Rank {
+	expected := c.Expected
+	if expected == 0 {
+		expected = unknownRun
+	}
+	return func(n *rack.Node, broken rack.Level) int {
+		if broken == rack.LevelWorker && v.RackUsed[n.Rack] == 0 {
+			broken = rack.LevelRack
+		}
+		apart := bits.Len64(uint64(max(v.RackUntil[n.Rack], 1))) - bits.Len64(uint64(expected))
+		if apart < 0 {
+			apart = -apart
+		}
+		room := rack.LevelRack.Slots() - v.RackUsed[n.Rack]
+		if w.Fragmentation > w.Completion {
+			return (int(broken)<<8+room)<<6 + apart
+		}
+		return (int(broken)<<6+apart)<<8 + room
+	}
 }
 
 // Resolve returns p with the functions of Cells where p has none.
--- a/rack/need.go
+++ b/rack/need.go
@@ -72,12 +72,12 @@
 func FirstFit(*Node, Level) int { return 0 }
 
 // Place finds cells for n among the free slots of f without changing f. Among
-// the groups of nodes that satisfy the adjacency it takes the one that can
-// hold the need with the fewest blocks to spare. It returns false when none
-// can.
+// the groups of nodes that satisfy the adjacency it takes the one whose cells
+// have the smallest sum of ranks, and then the one with the fewest blocks to
+// spare. It returns false when no group can hold the need.
 func (f *Forest) Place(n Need, rank Rank) ([]Cell, bool) {
 	var best []Cell
-	bestSpare := -1
+	bestCost, bestSpare := 0, 0
 	f.eachGroup(n.Adjacency, func(nodes []Node) {
 		have := 0
 		for i := range nodes {
@@ -86,8 +86,10 @@
 		if have < n.Members {
 			return
 		}
-		if spare := have - n.Members; bestSpare < 0 || spare < bestSpare {
-			best, bestSpare = fill(nodes, n, rank), spare
+		cells, cost := fill(nodes, n, rank)
+		spare := have - n.Members
+		if cells != nil && (best == nil || cost < bestCost || cost == bestCost && spare < bestSpare) {
+			best, bestCost, bestSpare = cells, cost, spare
 		}
 	})
 	return best, best != nil
@@ -132,25 +134,27 @@
 	}
 }
 
-// fill places the members of n one by one on nodes, which must have room.
-func fill(nodes []Node, n Need, rank Rank) []Cell {
+// fill places the members of n one by one on nodes, which must have room. It
+// returns the sum of the ranks.
+func fill(nodes []Node, n Need, rank Rank) ([]Cell, int) {
 	work := append([]Node(nil), nodes...)
 	cells := make([]Cell, 0, n.Members)
+	cost := 0
 	for len(cells) < n.Members {
-		at, c, ok := pick(work, n.Level, rank)
+		at, c, r, ok := pick(work, n.Level, rank)
 		if !ok {
-			return nil
+			return nil, 0
 		}
 		work[at].Used |= c.Mask
 		cells = append(cells, c)
+		cost += r
 	}
 	sort.SliceStable(cells, func(i, j int) bool { return cells[i].Node < cells[j].Node })
-	return cells
+	return cells, cost
 }
 
-// pick returns the best node and block for one member.
-func pick(nodes []Node, l Level, rank Rank) (at int, c Cell, ok bool) {
-	bestRank := 0
+// pick returns the best node and block for one member, and its rank.
+func pick(nodes []Node, l Level, rank Rank) (at int, c Cell, bestRank int, ok bool) {
 	for i := range nodes {
 		b, broken, fits := nodes[i].Free().BestBlock(l)
 		if !fits {
@@ -160,5 +164,5 @@
 			at, c, ok, bestRank = i, Cell{Node: nodes[i].Name, Mask: b}, true, r
 		}
 	}
-	return at, c, ok
+	return at, c, bestRank, ok
 }
--- a/workload/result.go
+++ b/workload/result.go
@@ -52,11 +52,10 @@
 
 // sampler sums samples up.
 type sampler struct {
-	until                 int64
-	n, freeN              int
-	busy, largest         float64
-	fragmentation         [rack.NumLevels]float64
-	capacity, sampleSlots int
+	until         int64
+	n, freeN      int
+	busy, largest float64
+	fragmentation [rack.NumLevels]float64
 }
 
 // sample measures the cells, until the load ends.
@@ -102,10 +101,9 @@
 	byClass, byOrg := map[string][]*jobRun{}, map[string][]*jobRun{}
 	var largest []*jobRun
 	for _, j := range r.all {
-		switch {
-		case j.outcome == "":
+		if j.outcome == "" {
 			res.Open++
-		default:
+		} else {
 			res.Outcomes[j.outcome]++
 		}
 		if j.never || j.outcome != job.Completed {
--- a/workload/workload_test.go
+++ b/workload/workload_test.go
@@ -1,15 +1,64 @@
 package workload
 
 import (
+	"bytes"
+	"flag"
+	"fmt"
 	"os"
+	"strings"
+	"sync"
 	"testing"
 
 	"github.com/limpetrelay/limpetrelay/policy"
 )
 
-func TestPolicies(t *testing.T) {
-	for _, p := range []policy.Policy{policy.FirstFit, policy.BestFit, policy.Cells} {
-		r := Run(Settings{Seed: 1, Days: 0.25, Load: 0.5}, p)
-		r.Print(os.Stdout, p.Name)
+// The flags of TestTable.
+var (
+	tableSeeds    = flag.Int("table.seeds", 1, "number of seeds")
+	tableDays     = flag.Float64("table.days", 0.1, "days of load")
+	tableLoad     = flag.Float64("table.load", 0.7, "wanted share of busy slots")
+	tablePolicies = flag.String("table.policies", "bestFit,cells", "policies: firstFit, bestFit, cellsUnlearned, cells")
+	tableWeights  = flag.String("table.weights", "3:1,1:3", "weights of completion and fragmentation")
+	tableAge      = flag.Int64("table.age", 0, "age bound of gangs, in milliseconds")
+)
+
+// named returns the policy called name.
+func named(name string) policy.Policy {
+	for _, p := range []policy.Policy{policy.FirstFit, policy.BestFit, policy.CellsUnlearned, policy.Cells} {
+		if p.Name == name {
+			return p
+		}
+	}
+	panic("no policy is called " + name)
+}
+
+// TestTable prints the measures of policies, weights and seeds.
+func TestTable(t *testing.T) {
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, 7)
+	var outs []*bytes.Buffer
+	for _, name := range strings.Split(*tablePolicies, ",") {
+		for _, weights := range strings.Split(*tableWeights, ",") {
+			for seed := range *tableSeeds {
+				s := Settings{Seed: uint64(seed + 1), Days: *tableDays, Load: *tableLoad, GangAge: *tableAge}
+				if _, err := fmt.Sscanf(weights, "%f:%f", &s.CompletionWeight, &s.FragmentationWeight); err != nil {
+					t.Fatal(err)
+				}
+				out := &bytes.Buffer{}
+				outs = append(outs, out)
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					slots <- struct{}{}
+					defer func() { <-slots }()
+					r := Run(s, named(name))
+					r.Print(out, fmt.Sprintf("%s %s seed %d", name, weights, s.Seed))
+				}()
+			}
+		}
+	}
+	wg.Wait()
+	for _, o := range outs {
+		_, _ = os.Stdout.Write(o.Bytes())
 	}
 }
