--- a/dispatch/schedule.go
+++ b/dispatch/schedule.go
@@ -18,6 +18,9 @@
 	holdPatience = 30_000
 	// runTimeQuantile of the observed run times is expected of a waiting job.
 	runTimeQuantile = 0.75
+	// ownAge is the part of the age bound after which a gang queues for its
+	// organisation's guarantee.
+	ownAge = 12
 	// leastObserved is the number of run times from which they are trusted
 	// more than the declared one.
 	leastObserved = 8
@@ -51,6 +54,9 @@
 	// cannot be used now are used.
 	free, plain rack.Forest
 	view        policy.View
+	// first is, per organisation, the acceptance of the gang that queues for the
+	// organisation's guarantee.
+	first map[string]uint64
 	// covers remembers what covered has found.
 	covers map[coverKey]bool
 	// whole is the round that this one was narrowed from; nil for none.
@@ -74,6 +80,7 @@
 		queue[i].Guaranteed = r.covered(&queue[i])
 	}
 	r.policy.Order(queue, r.weights)
+	s.queueForGuarantees(r, queue)
 	for i := range queue {
 		if !s.place(r, &queue[i]) && r.policy.Strict {
 			return
@@ -124,7 +131,7 @@
 func (s *State) newPlanning() *planning {
 	p := s.Ledger.Config.Policy
 	r := &planning{
-		plan: s.Ledger.Plan(s.DataCentre), policy: s.Policy.Resolve(), covers: map[coverKey]bool{},
+		plan: s.Ledger.Plan(s.DataCentre), policy: s.Policy.Resolve(), covers: map[coverKey]bool{}, first: map[string]uint64{},
 		weights: policy.Weights{Completion: p.CompletionWeight, Fragmentation: p.FragmentationWeight},
 	}
 	held := map[string]rack.Mask{}
@@ -189,6 +196,30 @@
 	r.reclaimable.Add(n)
 }
 
+// queueForGuarantees finds, per organisation, the oldest gang that has waited
+// long for its guarantee while its own organisation's smaller jobs use it. Until
+// it is placed, younger jobs of the organisation may only borrow.
+func (s *State) queueForGuarantees(r *planning, queue []policy.Candidate) {
+	if r.policy.NoGangHold {
+		return
+	}
+	for i := range queue {
+		c := &queue[i]
+		if c.Guaranteed || c.Need.Members < 2 || c.Waited < s.gangAge()/ownAge || !r.plan.Holds(c.Organisation, c.Need) {
+			continue
+		}
+		if first, ok := r.first[c.Organisation]; !ok || c.Accepted < first {
+			r.first[c.Organisation] = c.Accepted
+		}
+	}
+}
+
+// mayClaim reports whether c may use its organisation's guarantee now.
+func (r *planning) mayClaim(c *policy.Candidate) bool {
+	first, queued := r.first[c.Organisation]
+	return !r.policy.NoReclaim && (!queued || c.Accepted <= first)
+}
+
 // covered reports whether the unused guarantee of c's organisation covers it.
 func (r *planning) covered(c *policy.Candidate) bool {
 	k := coverKey{org: c.Organisation, need: c.Need}
@@ -210,7 +241,7 @@
 	if len(j.FailedOn) > 0 {
 		r = r.without(j.FailedOn)
 	}
-	if abstract, ok := r.plan.Guarantee(c.Organisation, c.Need); ok && !r.policy.NoReclaim {
+	if abstract, ok := r.plan.Guarantee(c.Organisation, c.Need); ok && r.mayClaim(c) {
 		if s.placeGuaranteed(r, c, j, abstract) {
 			return true
 		}
--- a/ledger/plan.go
+++ b/ledger/plan.go
@@ -45,6 +45,13 @@
 	return abstractPlace(f, need)
 }
 
+// Holds reports whether org's whole guarantee, if none of it were in use, would
+// cover need.
+func (p *Plan) Holds(org string, need rack.Need) bool {
+	f := p.y.abstract[org]
+	return f != nil && f.Fits(need)
+}
+
 // Keeps reports whether everyone's unused guarantee stays as carvable as it is
 // when org takes cells under its guarantee.
 func (p *Plan) Keeps(org string, cells, abstract []rack.Cell) bool {
--- a/ledger/yard.go
+++ b/ledger/yard.go
@@ -186,18 +186,35 @@
 // guarantee changed or a worker came or went. It first demotes the youngest
 // guaranteed jobs while the unused guarantees cannot be carved although the
 // live cells would hold them, and then promotes borrowers, oldest first, whose
-// organisation has unused guarantee.
+// organisation has unused guarantee that no waiting job of its own could use.
 func (l *Ledger) settle(dc string) {
 	y := l.yard(dc)
 	l.demote(dc, y)
+	claimed := l.claimed(dc, y)
 	for _, j := range l.placed(dc) {
-		if j.Guaranteed {
+		if j.Guaranteed || claimed[j.Spec.Organisation] {
 			continue
 		}
 		l.promote(y, j)
 	}
 }
 
+// claimed returns the organisations with a waiting job that their guarantee
+// could hold. Their unused guarantee is kept for it.
+func (l *Ledger) claimed(dc string, y *yard) map[string]bool {
+	m := map[string]bool{}
+	for _, j := range l.open {
+		if j.State != Queued || j.DataCentre != dc || m[j.Spec.Organisation] {
+			continue
+		}
+		f := y.abstract[j.Spec.Organisation]
+		if need, err := j.Spec.Need(); err == nil && f != nil && f.Fits(need) {
+			m[j.Spec.Organisation] = true
+		}
+	}
+	return m
+}
+
 // placed returns the placed jobs of dc, oldest place first.
 func (l *Ledger) placed(dc string) []*Job {
 	var js []*Job
