--- a/dispatch/schedule.go
+++ b/dispatch/schedule.go
@@ -425,11 +425,7 @@
 		if j == nil || j.Guaranteed {
 			continue
 		}
-		cost := (s.now-d.placedAt)/1000*int64(len(j.Members)) + 1
-		if j.Spec.Once {
-			// A once-only job cannot be repeated, so it is stopped last.
-			cost += 1 << 20
-		}
+		cost := s.stopCost(j, d)
 		for _, m := range j.Members {
 			lost[m.Worker] += cost
 		}
@@ -438,10 +434,35 @@
 		if r.free.Node(n.Name) == nil {
 			return 1 << 30
 		}
-		return int(min(lost[n.Name], 1<<24))*rack.NumLevels + int(broken)
+		return int(min(lost[n.Name], 1<<40))*rack.NumLevels + int(broken)
 	}
 }
 
+// stopCost returns what stopping a borrower costs: its work so far, in
+// slot-seconds, more for urgent jobs and for each attempt that was stopped
+// before, so that no job is stopped again and again. A once-only job cannot be
+// repeated, so it is stopped last.
+func (s *State) stopCost(j *ledger.Job, d *drive) int64 {
+	const (
+		urgentFactor = 8
+		onceCost     = 1 << 22
+		mostDoubled  = 6
+	)
+	cost := (s.now-d.placedAt)/1000 + 1
+	slots := 0
+	for _, m := range j.Members {
+		slots += m.Mask.Count()
+	}
+	cost *= int64(slots) << min(max(j.Attempt-1, 0), mostDoubled)
+	if j.Spec.Urgent || s.Ledger.Config.Classes[j.Spec.Class].Urgent {
+		cost *= urgentFactor
+	}
+	if j.Spec.Once {
+		cost += onceCost
+	}
+	return cost
+}
+
 // holdAged reserves cells for the oldest aged gang, one at a time. The cells
 // are chosen as if borrowers and running jobs had gone, preferring free ones,
 // and the gang waits for them to become free.
