--- a/ledger/yard.go
+++ b/ledger/yard.go
@@ -185,11 +185,14 @@
 // settle restores the guarantee bookkeeping of dc after cells were freed, a
 // guarantee changed or a worker came or went. It first demotes the youngest
 // guaranteed jobs while the unused guarantees cannot be carved although the
-// live cells would hold them, and then promotes borrowers, oldest first, whose
+// live cells would hold them, then compacts, and then promotes borrowers, oldest first, whose
 // organisation has unused guarantee that no waiting job of its own could use.
 func (l *Ledger) settle(dc string) {
 	y := l.yard(dc)
 	l.demote(dc, y)
+	for _, o := range l.Config.Names() {
+		l.compact(dc, y, o)
+	}
 	claimed := l.claimed(dc, y)
 	for _, j := range l.placed(dc) {
 		if j.Guaranteed || claimed[j.Spec.Organisation] {
@@ -199,6 +202,56 @@
 	}
 }
 
+// compact binds the guaranteed jobs of an organisation anew, largest first, so
+// that small jobs do not keep its large abstract cells broken. Abstract cells
+// are not tied to workers, so this moves nothing; it is undone when the wholer
+// unused guarantee could not be carved out.
+func (l *Ledger) compact(dc string, y *yard, org string) {
+	var js []*Job
+	for _, j := range l.placed(dc) {
+		if j.Guaranteed && j.Spec.Organisation == org {
+			js = append(js, j)
+		}
+	}
+	old := y.abstract[org]
+	if len(js) == 0 || old == nil {
+		return
+	}
+	slices.SortStableFunc(js, func(a, b *Job) int { return slotsOf(b) - slotsOf(a) })
+	fresh := rack.Abstract(l.Config.Organisations[org].Guarantee[dc])
+	cells := make([][]rack.Cell, len(js))
+	for i, j := range js {
+		need, err := j.Spec.Need()
+		c, ok := abstractPlace(&fresh, need)
+		if err != nil || !ok {
+			return
+		}
+		fresh.Take(c)
+		cells[i] = c
+	}
+	before := y.missing()
+	if fresh.Free() == old.Free() {
+		return
+	}
+	y.abstract[org] = &fresh
+	if y.missing() > before {
+		y.abstract[org] = old
+		return
+	}
+	for i, j := range js {
+		j.Abstract = cells[i]
+	}
+}
+
+// slotsOf returns the number of slots that a placed job holds.
+func slotsOf(j *Job) int {
+	n := 0
+	for _, m := range j.Members {
+		n += m.Mask.Count()
+	}
+	return n
+}
+
 // claimed returns the organisations with a waiting job that their guarantee
 // could hold. Their unused guarantee is kept for it.
 func (l *Ledger) claimed(dc string, y *yard) map[string]bool {
--- a/workload/fake.go
+++ b/workload/fake.go
@@ -1,6 +1,9 @@
 package workload
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/limpetrelay/limpetrelay/dispatch"
 	"github.com/limpetrelay/limpetrelay/rack"
 	"github.com/limpetrelay/limpetrelay/upstream"
@@ -36,8 +39,8 @@
 		Worker: f.name, Incarnation: "1", DataCentre: dataCentre, Rack: f.rack, Slots: rack.SlotsPerWorker,
 		Accelerated: true, Free: ^f.used, Revision: f.revision,
 	}
-	for _, t := range f.tasks {
-		if t.revision > seen {
+	for _, id := range slices.Sorted(maps.Keys(f.tasks)) {
+		if t := f.tasks[id]; t.revision > seen {
 			r.Tasks = append(r.Tasks, t.TaskReport)
 		}
 	}
