--- a/dispatch/schedule.go
+++ b/dispatch/schedule.go
@@ -16,6 +16,9 @@
 	// holdPatience bounds how long cells are held for a reclaiming job, in
 	// milliseconds.
 	holdPatience = 30_000
+	// agedPatience bounds how long cells are reserved for an aged gang before
+	// they are chosen anew, in milliseconds.
+	agedPatience = 15 * 60_000
 	// runTimeQuantile of the observed run times is expected of a waiting job.
 	runTimeQuantile = 0.75
 	// ownAge is the part of the age bound after which a gang queues for its
@@ -235,7 +238,8 @@
 // candidate is being placed.
 func (s *State) place(r *planning, c *policy.Candidate) bool {
 	j := s.Ledger.Jobs[c.Job]
-	if h := s.holds[c.Job]; h != nil {
+	h := s.holds[c.Job]
+	if h != nil && !(h.aged && c.Guaranteed && r.mayClaim(c)) {
 		return s.placeHeld(r, j, h)
 	}
 	if len(j.FailedOn) > 0 {
@@ -276,7 +280,11 @@
 	}
 	for _, c := range h.cells {
 		if r.plan.Taken(c.Node)&c.Mask != 0 {
-			if s.now-h.since > holdPatience && !h.aged {
+			patience := int64(holdPatience)
+			if h.aged {
+				patience = agedPatience
+			}
+			if s.now-h.since > patience {
 				delete(s.holds, j.ID)
 			}
 			return false
