--- a/dispatch/schedule.go
+++ b/dispatch/schedule.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"slices"
+
 	"github.com/limpetrelay/limpetrelay/config"
 	"github.com/limpetrelay/limpetrelay/ledger"
 	"github.com/limpetrelay/limpetrelay/policy"
@@ -242,8 +244,8 @@
 	if h != nil && !(h.aged && c.Guaranteed && r.mayClaim(c)) {
 		return s.placeHeld(r, j, h)
 	}
-	if len(j.FailedOn) > 0 {
-		r = r.without(j.FailedOn)
+	if avoid := s.avoided(j, c); len(avoid) > 0 {
+		r = r.without(avoid)
 	}
 	if abstract, ok := r.plan.Guarantee(c.Organisation, c.Need); ok && r.mayClaim(c) {
 		if s.placeGuaranteed(r, c, j, abstract) {
@@ -321,31 +323,32 @@
 func (s *State) placeFree(r *planning, c *policy.Candidate, j *ledger.Job) bool {
 	rank := r.policy.Rank(c, &r.view, r.weights)
 	if j.Spec.Accelerators == 0 {
-		if cells, ok := r.plain.Place(c.Need, rank); ok && s.trialAllows(j, cells) {
+		if cells, ok := r.plain.Place(c.Need, rank); ok {
 			s.writePlace(r, j, cells, nil)
 			return true
 		}
 	}
 	cells, ok := r.free.Place(c.Need, rank)
-	if !ok || !s.trialAllows(j, cells) {
+	if !ok {
 		return false
 	}
 	s.writePlace(r, j, cells, nil)
 	return true
 }
 
-// trialAllows reports whether j may run on cells: workers on trial take only
-// repeatable single jobs.
-func (s *State) trialAllows(j *ledger.Job, cells []rack.Cell) bool {
-	if !j.Spec.Once && len(cells) == 1 {
-		return true
+// avoided returns the workers that j must not go to: those on which it has
+// failed, and for once-only jobs and gangs those on trial.
+func (s *State) avoided(j *ledger.Job, c *policy.Candidate) []string {
+	names := j.FailedOn
+	if !j.Spec.Once && c.Need.Members == 1 {
+		return names
 	}
-	for _, c := range cells {
-		if s.onTrial(c.Node) {
-			return false
+	for _, n := range s.Ledger.WorkerNames(s.DataCentre) {
+		if s.onTrial(n) {
+			names = append(slices.Clip(names), n)
 		}
 	}
-	return true
+	return names
 }
 
 // writePlace records a place and marks its cells in the round.
