--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -3,9 +3,11 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -36,7 +38,7 @@
 		Name:  "standin",
 		Usage: "play the platform or a worker on loopback",
 		Commands: []*cli.Command{
-			platformCommand(), workerCommand(),
+			platformCommand(), workerCommand(), workersCommand(),
 		},
 	}
 	return errors.Wrap(app.Run(ctx, os.Args), "standin")
@@ -118,6 +120,63 @@
 	}
 }
 
+// workersCommand returns the command that plays many workers in one process.
+func workersCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "workers",
+		Usage: "play many workers, eight per rack, and enter them into the platform's list",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "count", Required: true, Usage: "number of workers"},
+			&cli.StringFlag{Name: "data-centre", Required: true, Usage: "data centre of the workers"},
+			&cli.StringFlag{Name: "platform", Required: true, Usage: "base address of the platform"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			failed := make(chan error, 1)
+			for i := range c.Int("count") {
+				if err := startWorker(ctx, c, i, failed); err != nil {
+					return err
+				}
+			}
+			select {
+			case err := <-failed:
+				return err
+			case <-ctx.Done():
+				return nil
+			}
+		},
+	}
+}
+
+// startWorker serves worker i on a free port and lists it.
+func startWorker(ctx context.Context, c *cli.Command, i int, failed chan error) error {
+	const workersPerRack = 8
+	dc := c.String("data-centre")
+	w := &standin.Worker{
+		Name: fmt.Sprintf("%s-w%04d", dc, i), DataCentre: dc, Rack: fmt.Sprintf("%s-r%03d", dc, i/workersPerRack),
+		Incarnation: uuid.NewString(),
+	}
+	mux := http.NewServeMux()
+	upstream.Register(mux, w.Upstream())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	go func() { failed <- http.Serve(l, mux) }()
+	b, err := json.Marshal(platform.Host{Name: w.Name, Kind: platform.KindWorker, DataCentre: dc, Address: l.Addr().String()})
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.String("platform")+"/hosts", bytes.NewReader(b))
+	if err != nil {
+		return errors.Wrap(err, "make the request")
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "list the worker")
+	}
+	return errors.Wrap(res.Body.Close(), "list the worker")
+}
+
 // serve serves mux until ctx ends.
 func serve(ctx context.Context, address string, mux http.Handler) error {
 	const headerTimeout = 5 * time.Second
--- a/dispatch/schedule.go
+++ b/dispatch/schedule.go
@@ -241,7 +241,8 @@
 func (s *State) place(r *planning, c *policy.Candidate) bool {
 	j := s.Ledger.Jobs[c.Job]
 	h := s.holds[c.Job]
-	if h != nil && !(h.aged && c.Guaranteed && r.mayClaim(c)) {
+	claims := c.Guaranteed && r.mayClaim(c)
+	if h != nil && (!h.aged || !claims) {
 		return s.placeHeld(r, j, h)
 	}
 	if avoid := s.avoided(j, c); len(avoid) > 0 {
