--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -350,3 +350,28 @@
 		require.Equal(t, fault.Refused, fault.KindOf(at(workers...)), "%v", workers)
 	}
 }
+
+// TestNotRunAfterStart refuses to end a job as not run once an attempt may have
+// started.
+func TestNotRunAfterStart(t *testing.T) {
+	m := newLedger(t, rack.Shape{})
+	seq := uint64(100)
+	write := func(r record.Record) ledger.Verdict {
+		seq++
+		r.Host, r.Incarnation, r.Sequence, r.At = "e1", "e1.1", seq, 5
+		v := m.l.Apply(m.offset, r)
+		m.l.Advance(m.offset)
+		m.offset++
+		return v
+	}
+	require.NoError(t, write(record.Record{Accept: &record.Accept{Job: "j", DataCentre: dc,
+		Spec: job.Spec{Organisation: "lender", Class: "c", Accelerators: 8}}}).Err)
+	require.NoError(t, write(record.Record{Place: &record.Place{Job: "j", Attempt: 1, Term: 1,
+		Members: []record.Member{{Worker: "w0", Incarnation: "1", Mask: 0xff}}}}).Err)
+	require.NoError(t, write(record.Record{Requeue: &record.Requeue{Job: "j", Attempt: 1, Term: 1}}).Err)
+	end := record.Record{End: &record.End{Job: "j", Attempt: 1, Term: 1, Outcome: job.Ended(job.NotRun, fault.Refused, "x", "y")}}
+	require.Error(t, write(end).Err)
+	v := write(record.Record{Cancel: &record.Cancel{Job: "j", By: "clerk"}})
+	require.True(t, v.Ended)
+	require.Equal(t, job.Failed, v.Job.Outcome.Result, "it has run in part")
+}
