Admission of small requests per organisation, and what merging appends brings

Cause: under overload small requests waited until their callers had gone, and any that waited 1 s became a record, so that an overload of small requests became one of the log. Change: package admission queues per organisation, in turns, and refuses new requests when the oldest has waited 500 ms; a small request is recorded only when its organisation has unused guarantee, 32 at a time; the free slots are counted since the last report; a refusal keeps a worker out for 20 ms.

Merging stays (transaction merging, Eini).

--- a/dispatch/small.go
+++ b/dispatch/small.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 
+	"github.com/limpetrelay/limpetrelay/admission"
 	"github.com/limpetrelay/limpetrelay/fault"
 	"github.com/limpetrelay/limpetrelay/job"
 	"github.com/limpetrelay/limpetrelay/ledger"
@@ -23,15 +26,18 @@
 	mostAvoided = 7
 	// smallFailures is the number of workers on which a small request may fail.
 	smallFailures = 2
-	// avoidFor is how long a worker that refused or failed is avoided, in
-	// milliseconds.
+	// avoidFor is how long a worker on which a task failed is avoided at first,
+	// in milliseconds.
 	avoidFor = 500
 	// avoidLeaving is how long a worker that could not be reached is avoided, in
 	// milliseconds.
 	avoidLeaving = 3000
-	// waitStep is how long a request that found no worker waits before it looks
-	// again, in milliseconds.
-	waitStep = 50
+	// waitStep is the time between two looks for workers for the requests that
+	// wait, in milliseconds.
+	waitStep = 20
+	// maxRecordedSmalls is the number of callers waiting for the log's verdict
+	// from which on no small request is recorded.
+	maxRecordedSmalls = 32
 	// viewFresh is how long a worker's number of free slots is trusted, in
 	// milliseconds.
 	viewFresh = 1000
@@ -40,16 +46,20 @@
 // smalls is the state of the small path: single repeatable requests that go
 // straight to a worker, without the log and without the placer.
 type smalls struct {
-	// tasks is keyed by task.
+	// tasks is keyed by request.
 	tasks      map[string]*small
 	smallCount uint64
-	// waiting lists, oldest first, the tasks that found no worker.
-	waiting []string
+	// lines holds the requests that found no worker. Refusals go by its Target.
+	lines admission.Queue
+	// turnAt is when the lines are looked at again.
+	turnAt int64
 }
 
 // smallView is what the small path knows of a worker.
 type smallView struct {
-	free       int
+	// free is the number of free slots that the worker told at the time at, and
+	// sent the number of slots asked for since.
+	free, sent int
 	at         int64
 	avoidUntil int64
 	inFlight   int
@@ -60,8 +70,10 @@
 // small is one small request.
 type small struct {
 	Submit
-	task string
-	need rack.Need
+	// id names the request, and task its current try.
+	id, task string
+	need     rack.Need
+	tries    int
 	// began is when the request arrived.
 	began    int64
 	deadline int64
@@ -72,6 +84,8 @@
 	incarnation string
 	// heard is when the last answered call was sent.
 	heard int64
+	// waited is set once the request has waited for a worker.
+	waited bool
 	// started is set once the worker has said that the task ran.
 	started bool
 	// ran is set once any try may have run, so that "not run" is never said.
@@ -93,27 +107,41 @@
 		s.refuse(e.Waiter, err)
 		return
 	}
+	if !s.lines.Admit(e.Spec.Organisation, s.now) {
+		s.observe(e.Spec.Organisation, e.Spec.Class, "smallRefused", 1)
+		s.refuse(e.Waiter, fault.New(fault.Overloaded, "nothing was done: earlier requests of the organisation still wait for a slot",
+			"submit it again later, at a lower rate"))
+		return
+	}
 	s.budget.Deposit()
-	m := &small{Submit: *e, need: need, began: s.now, deadline: s.now + e.Wait}
+	s.smallCount++
+	m := &small{
+		Submit: *e, id: fmt.Sprintf("s-%s-%d", s.Incarnation, s.smallCount),
+		need: need, began: s.now, deadline: s.now + e.Wait,
+	}
+	s.tasks[m.id] = m
 	s.tryWorker(m)
 }
 
-// tryWorker sends the request to a worker, or lets it wait for one. Each try
-// has a task name of its own.
+// tryWorker sends the request to a worker, or lets it wait for one.
 func (s *State) tryWorker(m *small) {
-	delete(s.tasks, m.task)
-	s.smallCount++
-	m.task = fmt.Sprintf("s-%s-%d", s.Incarnation, s.smallCount)
 	m.worker, m.unsure, m.started = "", false, false
-	s.tasks[m.task] = m
-	w := s.chooseWorker(m)
-	if w == nil {
-		s.letWait(m)
+	// Nobody overtakes the requests that already wait.
+	if w := s.chooseWorker(m); w != nil && (m.waited || s.lines.Len() == 0) {
+		s.sendSmall(m, w)
 		return
 	}
+	s.letWait(m)
+}
+
+// sendSmall sends the request to a worker. Each try has a task name of its own.
+func (s *State) sendSmall(m *small, w *ledger.Worker) {
+	m.tries++
+	m.task = m.id + "/" + strconv.Itoa(m.tries)
 	m.worker, m.incarnation, m.heard = w.Name, w.Incarnation, s.now
 	v := s.view(w.Name)
 	v.small.inFlight++
+	v.small.sent += m.need.Level.Slots()
 	s.observe(m.Spec.Organisation, m.Spec.Class, "smallTries", 1)
 	s.emit(Effect{Small: &SmallCall{Worker: w.Name, Address: s.address(w.Name), Run: &upstream.Run{
 		Wait: smallWait,
@@ -166,22 +194,21 @@
 	if s.now < v.avoidUntil {
 		return 0, false
 	}
-	free := w.Slots
+	free := w.Slots - v.inFlight
 	if s.now-v.at < viewFresh && v.at != 0 {
-		free = v.free
+		free = v.free - v.sent
 	}
-	free -= v.inFlight
 	return free, free >= m.need.Level.Slots()
 }
 
 // onSmall takes the result of a call.
 func (s *State) onSmall(e *SmallDone) {
 	v := &s.view(e.Worker).small
-	m := s.tasks[e.Task]
+	m := s.smallOf(e.Task)
 	if e.Err == nil || fault.KindOf(e.Err) == fault.Refused {
-		v.free, v.at = e.Report.Free, s.now
+		v.free, v.at, v.sent = e.Report.Free, s.now, 0
 	}
-	if m == nil || m.worker != e.Worker {
+	if m == nil || m.task != e.Task || m.worker == "" {
 		return
 	}
 	if e.Err != nil {
@@ -199,13 +226,19 @@
 	s.onSmallEnd(m, v, &e.Report)
 }
 
+// smallOf returns the request of a task, or nil.
+func (s *State) smallOf(task string) *small {
+	id, _, _ := strings.Cut(task, "/")
+	return s.tasks[id]
+}
+
 // onSmallError tells a refusal, after which the task never runs, from a lost
 // answer, after which its fate has to be asked for.
 func (s *State) onSmallError(m *small, v *smallView, e *SmallDone) {
 	first := !m.started && !m.unsure
 	if first && fault.NothingDone(e.Err) {
 		v.inFlight--
-		v.avoidUntil = s.now + avoidFor
+		v.avoidUntil = s.now + waitStep
 		if fault.KindOf(e.Err) == fault.Unavailable {
 			v.avoidUntil = s.now + avoidLeaving
 		}
@@ -274,8 +307,47 @@
 
 // letWait queues a request that has no worker.
 func (s *State) letWait(m *small) {
-	m.askAt = s.now + waitStep
-	s.waiting = append(s.waiting, m.task)
+	m.waited = true
+	s.lines.Push(m.Spec.Organisation, m.id, m.began)
+}
+
+// turnSmalls offers the waiting requests to the workers, one organisation after
+// the other.
+func (s *State) turnSmalls() {
+	if s.now < s.turnAt {
+		return
+	}
+	s.turnAt = s.now + waitStep
+	s.lines.Turn(func(id string) bool {
+		m := s.tasks[id]
+		if m == nil || m.worker != "" {
+			return true
+		}
+		if w := s.chooseWorker(m); w != nil {
+			s.sendSmall(m, w)
+			return true
+		}
+		return s.recordSmall(m)
+	})
+}
+
+// recordSmall records a request that has waited long as a job, when its
+// organisation has unused guarantee that could be reclaimed for it. It reports
+// whether it did. The number on their way is bounded, so that an overload of
+// small requests does not become one of the log.
+func (s *State) recordSmall(m *small) bool {
+	if s.now-m.began <= s.SmallPatience || m.ran || s.logDown || s.draining || !s.Ready || len(s.submits) >= maxRecordedSmalls {
+		return false
+	}
+	if _, ok := s.Ledger.Plan(s.DataCentre).Guarantee(m.Spec.Organisation, m.need); !ok {
+		return false
+	}
+	delete(s.tasks, m.id)
+	e := m.Submit
+	e.Wait = m.deadline - s.now
+	s.observe(m.Spec.Organisation, m.Spec.Class, "smallRecorded", 1)
+	s.record(&e, s.DataCentre)
+	return true
 }
 
 // await follows a running task and renews its lease.
@@ -288,7 +360,7 @@
 
 // endSmall answers a small request and forgets it.
 func (s *State) endSmall(m *small, r Reply) {
-	delete(s.tasks, m.task)
+	delete(s.tasks, m.id)
 	r.Waiter, r.State = m.Waiter, ledger.Finished
 	s.observe(m.Spec.Organisation, m.Spec.Class, "completionTime", s.now-m.began)
 	s.observe(m.Spec.Organisation, m.Spec.Class, string(r.Outcome.Result), 1)
@@ -298,18 +370,7 @@
 // expireSmalls retries the waiting requests, records those that waited long,
 // asks for lost tasks and ends the requests whose caller's time is over.
 func (s *State) expireSmalls() {
-	waiting := s.waiting
-	s.waiting = nil
-	for _, id := range waiting {
-		m := s.tasks[id]
-		switch {
-		case m == nil || m.worker != "":
-		case s.now < m.askAt:
-			s.waiting = append(s.waiting, id)
-		default:
-			s.retryWaiting(m)
-		}
-	}
+	s.turnSmalls()
 	for _, id := range sortedKeys(s.tasks) {
 		m := s.tasks[id]
 		switch {
@@ -321,20 +382,6 @@
 	}
 }
 
-// retryWaiting tries a waiting request again, or records it as a job, so that
-// its organisation's guarantee can be claimed for it.
-func (s *State) retryWaiting(m *small) {
-	if s.now-m.began > s.SmallPatience && !m.ran && !s.logDown && !s.draining && s.Ready {
-		delete(s.tasks, m.task)
-		e := m.Submit
-		e.Wait = m.deadline - s.now
-		s.observe(m.Spec.Organisation, m.Spec.Class, "smallRecorded", 1)
-		s.record(&e, s.DataCentre)
-		return
-	}
-	s.tryWorker(m)
-}
-
 // lateSmall ends a request whose caller's time is over. What is said depends
 // on what the worker has said of the task.
 func (s *State) lateSmall(m *small) {
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -38,6 +38,12 @@
 	// SmallPatience is how long a small request waits for a slot before it is
 	// recorded as a job. Default 1000.
 	SmallPatience int64
+	// SmallTarget is the wait of an organisation's oldest small request from
+	// which on its new ones are refused. Default 500.
+	SmallTarget int64
+	// RetryReserve is the number of retries of small requests that may be saved
+	// up. Default retry.DefaultReserve.
+	RetryReserve float64
 	// SmallRunTime is the longest declared run time of a small request.
 	// Default 60000.
 	SmallRunTime int64
@@ -210,6 +216,7 @@
 	}
 	h := fnv.New64a()
 	h.Write([]byte(s.Incarnation))
+	s.lines.Target, s.budget.Reserve = s.SmallTarget, s.RetryReserve
 	s.rand = rand.New(rand.NewPCG(h.Sum64(), 1))
 }
 
--- /dev/null
+++ b/entry/overload_test.go
@@ -0,0 +1,187 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetrelay/limpetrelay/config"
+	"github.com/limpetrelay/limpetrelay/job"
+	"github.com/limpetrelay/limpetrelay/rack"
+	"github.com/limpetrelay/limpetrelay/standin"
+)
+
+// load is what an open loop of small requests measured.
+type load struct {
+	offered, completed, refused, failed, late int
+	p50, p99                                  time.Duration
+	runs                                      int
+}
+
+// String returns the measures on one line.
+func (l *load) String() string {
+	return fmt.Sprintf("offered %d, completed in time %d, refused %d, failed %d, late %d, p50 %s, p99 %s, %.2f runs per request",
+		l.offered, l.completed, l.refused, l.failed, l.late, l.p50, l.p99, float64(l.runs)/float64(l.offered))
+}
+
+// overload offers small requests of 100 ms at a multiple of the capacity of ten
+// workers, one of which fails everything, for some virtual time.
+func overload(t *testing.T, times float64, long time.Duration, tune func(*Settings)) load {
+	t.Helper()
+	var l load
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t.Context(), t, "a")
+		w.tune = tune
+		defer w.stop()
+		w.addWorkers("a", 10)
+		for _, h := range []string{"a-e0", "a-e1", "a-e2"} {
+			w.startHost(h, "a")
+		}
+		require.True(t, w.settled(10))
+		require.NoError(t, w.organise("a-e0", map[string]rack.Shape{"acme": {}, "lender": {}}))
+		w.workers["a-w0"].SetFaults(standin.WorkerFaults{FailAll: true})
+		l = w.openLoop(times, long)
+	})
+	return l
+}
+
+// openLoop sends requests at a fixed rate, whatever becomes of them.
+func (w *world) openLoop(times float64, long time.Duration) load {
+	const run, wait = 100, 2 * time.Second
+	gap := time.Duration(float64(run*time.Millisecond) / (times * 10 * rack.SlotsPerWorker))
+	var l load
+	var mu sync.Mutex
+	var took []time.Duration
+	var wg sync.WaitGroup
+	ctx, cancel := context.WithTimeout(w.ctx, long)
+	defer cancel()
+	for i := 0; ctx.Err() == nil; i++ {
+		l.offered++
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			began := time.Now()
+			r, err := w.submit(fmt.Sprintf("a-e%d", i%3), spec([]string{"acme", "lender"}[i%2], "assay", fmt.Sprint("o-", i), run), wait)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err != nil:
+				l.refused++
+			case r.Outcome == nil || r.Outcome.Result == job.NotRun || r.Outcome.Result == job.Unknown:
+				l.late++
+			case r.Outcome.Result == job.Completed:
+				l.completed++
+				took = append(took, time.Since(began))
+			default:
+				l.failed++
+			}
+		}()
+		pause(ctx, gap)
+	}
+	wg.Wait()
+	slices.Sort(took)
+	if len(took) > 0 {
+		l.p50, l.p99 = took[len(took)/2], took[len(took)*99/100]
+	}
+	for _, wk := range w.workers {
+		l.runs += len(wk.History())
+	}
+	return l
+}
+
+// TestOverload keeps goodput and answer times under overload, with a tenth of
+// the workers failing everything, and compares with no admission and with
+// unbounded retries.
+func TestOverload(t *testing.T) {
+	const long = 3 * time.Second
+	type result struct{ ours, open, retries load }
+	results := map[float64]result{}
+	for _, times := range []float64{1, 2, 4} {
+		r := result{
+			ours:    overload(t, times, long, nil),
+			open:    overload(t, times, long, func(s *Settings) { s.SmallTarget = 1 << 40 }),
+			retries: overload(t, times, long, func(s *Settings) { s.SmallTarget = 1 << 40; s.RetryReserve = 1 << 40 }),
+		}
+		results[times] = r
+		t.Logf("%gx ours              %s", times, &r.ours)
+		t.Logf("%gx no admission      %s", times, &r.open)
+		t.Logf("%gx unbounded retries %s", times, &r.retries)
+	}
+	one := results[1].ours
+	for _, times := range []float64{2, 4} {
+		o := results[times].ours
+		require.GreaterOrEqual(t, o.completed, one.completed*8/10, "goodput at %gx", times)
+		require.LessOrEqual(t, o.p99, 2*time.Second, "answer time at %gx", times)
+		require.LessOrEqual(t, o.runs, o.offered*11/10+3*10, "runs are bounded by the retry budget")
+	}
+}
+
+// TestMerging compares appends of one record each with merged ones, against a
+// log that takes 300 appends a second.
+func TestMerging(t *testing.T) {
+	for _, callers := range []int{1, 8, 64} {
+		var rate [2]float64
+		for i, batch := range []int{1, 128} {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t.Context(), t, "a")
+				w.tune = func(s *Settings) { s.BatchRecords = batch }
+				w.log.Rate = 300
+				defer w.stop()
+				w.addWorkers("a", 8)
+				w.startHost("a-e0", "a")
+				require.True(t, w.settled(8))
+				_, err := w.patch("a-e0", config.Patch{Author: "op", Changes: []config.Change{{SetOrganisation: &config.NamedOrganisation{
+					Name: "acme", Organisation: config.Organisation{MaxQueued: 100_000},
+				}}}})
+				require.NoError(t, err)
+				rate[i] = w.closedLoop(t, callers, batch)
+			})
+		}
+		if callers == 64 {
+			require.Greater(t, rate[1], 3*rate[0], "merging must pay for itself at 64 callers")
+		}
+	}
+}
+
+// closedLoop has callers submit and cancel jobs one after the other and returns
+// the accepted jobs per second.
+func (w *world) closedLoop(t *testing.T, callers, batch int) float64 {
+	t.Helper()
+	const long = time.Second
+	ctx, cancel := context.WithTimeout(w.ctx, long)
+	defer cancel()
+	var mu sync.Mutex
+	var took []time.Duration
+	var wg sync.WaitGroup
+	appends := w.log.Appends()
+	for i := range callers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for k := 0; ctx.Err() == nil; k++ {
+				s := spec("acme", "plan", fmt.Sprintf("m-%d-%d", i, k), 1)
+				s.Key = fmt.Sprintf("m-%d-%d", i, k)
+				began := time.Now()
+				if _, err := w.submit("a-e0", s, 0); err != nil {
+					t.Errorf("%v", err)
+					return
+				}
+				mu.Lock()
+				took = append(took, time.Since(began))
+				mu.Unlock()
+			}
+		}()
+	}
+	wg.Wait()
+	slices.Sort(took)
+	rate := float64(len(took)) / long.Seconds()
+	t.Logf("%d callers, %d records per append: %.0f jobs/s accepted, p50 %s, p99 %s, %.0f appends/s", callers, batch, rate,
+		took[len(took)/2], took[len(took)*99/100], float64(w.log.Appends()-appends)/long.Seconds())
+	return rate
+}
