--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -37,7 +37,7 @@
 func inTunedWorld(t *testing.T, tune func(*Settings), fn func(t *testing.T, w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t.Context(), t, "a")
+		w := newWorld(t.Context(), t)
 		w.tune = tune
 		defer w.stop()
 		w.addWorkers("a", 8)
--- a/entry/overload_test.go
+++ b/entry/overload_test.go
@@ -36,7 +36,7 @@
 	t.Helper()
 	var l load
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t.Context(), t, "a")
+		w := newWorld(t.Context(), t)
 		w.tune = tune
 		defer w.stop()
 		w.addWorkers("a", 10)
@@ -129,7 +129,7 @@
 		var rate [2]float64
 		for i, batch := range []int{1, 128} {
 			synctest.Test(t, func(t *testing.T) {
-				w := newWorld(t.Context(), t, "a")
+				w := newWorld(t.Context(), t)
 				w.tune = func(s *Settings) { s.BatchRecords = batch }
 				w.log.Rate = 300
 				defer w.stop()
--- a/entry/soak_test.go
+++ b/entry/soak_test.go
@@ -76,7 +76,7 @@
 // soak runs one world and returns what was wrong.
 func soak(t *testing.T, script []step, seed uint64, long time.Duration) []string {
 	t.Helper()
-	w := newWorld(t.Context(), t, "a")
+	w := newWorld(t.Context(), t)
 	w.tune = func(s *Settings) { s.SnapshotRecords, s.SnapshotEvery = 60, 20*time.Second }
 	w.log.Retention = 3 * time.Minute
 	for _, dc := range []string{"a", "b"} {
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -48,10 +48,10 @@
 	frozen chan struct{}
 }
 
-// newWorld returns an empty world whose log is in data centre home.
-func newWorld(ctx context.Context, tb testing.TB, home string) *world {
+// newWorld returns an empty world whose log is in data centre a.
+func newWorld(ctx context.Context, tb testing.TB) *world {
 	return &world{
-		t: tb, ctx: ctx, home: home, log: &standin.Log{}, dir: &standin.Directory{Lag: time.Second},
+		t: tb, ctx: ctx, home: "a", log: &standin.Log{}, dir: &standin.Directory{Lag: time.Second},
 		workers: map[string]*standin.Worker{}, hosts: map[string]*running{}, cuts: map[string]bool{}, dcOf: map[string]string{},
 	}
 }
