Split the large files; heartbeats and drives looked at by worker, not by event

Cause: TestCapacity -capacity.sizes 50,200,870,2000 showed a placer's processor time growing faster than its workers: 2.6, 11.7 and 142.9 % of a core at 50, 200 and 870 (2000 did not get its jobs placed in time). Each of n heartbeats a second went through all n workers and all drives. Change: drives are indexed by worker; all of them are looked at every 10 ms and otherwise only the ones that an event is about. The ledger's settle reads the placed jobs once. Files of over 500 lines were split by their jobs.

--- a/dispatch/drive.go
+++ b/dispatch/drive.go
@@ -2,10 +2,8 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"github.com/limpetrelay/limpetrelay/fault"
-	"github.com/limpetrelay/limpetrelay/job"
 	"github.com/limpetrelay/limpetrelay/ledger"
 	"github.com/limpetrelay/limpetrelay/record"
 	"github.com/limpetrelay/limpetrelay/upstream"
@@ -104,7 +102,7 @@
 func (s *State) onPlaced(r *record.Record, v ledger.Verdict) {
 	if r.Incarnation != s.Incarnation {
 		if s.leading && v.Err == nil && v.Job.DataCentre == s.DataCentre {
-			s.drives[v.Job.ID] = newDrive(v.Job, phaseRecover, s.now)
+			s.setDrive(newDrive(v.Job, phaseRecover, s.now))
 		}
 		return
 	}
@@ -117,45 +115,12 @@
 	if !s.leading || v.Job.DataCentre != s.DataCentre {
 		return
 	}
-	s.drives[v.Job.ID] = newDrive(v.Job, phaseReserve, s.now)
+	d := newDrive(v.Job, phaseReserve, s.now)
+	s.setDrive(d)
+	s.step(d)
 	s.observe(v.Job.Spec.Organisation, v.Job.Spec.Class, "queueTime", max(0, s.Ledger.Time-v.Job.AcceptedTime))
 }
 
-// onRequeued drops the drive of an attempt that is over.
-func (s *State) onRequeued(r *record.Record, v ledger.Verdict) {
-	if v.Err != nil {
-		s.onRefusedEnd(r.Requeue.Job)
-		return
-	}
-	s.dropDrive(r.Requeue.Job)
-	s.dirty = true
-	if s.leading && v.Job.DataCentre == s.DataCentre {
-		s.observe(v.Job.Spec.Organisation, v.Job.Spec.Class, "requeues", 1)
-	}
-}
-
-// onRefusedEnd decides anew about an attempt whose end the log has refused,
-// for example because the job was cancelled meanwhile.
-func (s *State) onRefusedEnd(id string) {
-	if d := s.drives[id]; d != nil && d.phase == phaseDone {
-		s.enter(d, phaseStop)
-	}
-}
-
-// dropDrive forgets the drive of a job and lets its workers forget its tasks.
-func (s *State) dropDrive(id string) {
-	d := s.drives[id]
-	if d == nil {
-		return
-	}
-	delete(s.drives, id)
-	for i := range d.members {
-		v := s.view(d.members[i].worker)
-		delete(v.tasks, d.members[i].task)
-		v.forget = append(v.forget, d.members[i].task)
-	}
-}
-
 // onCancelled stops the attempt of a job that was cancelled while placed.
 func (s *State) onCancelled(j *ledger.Job) {
 	if d := s.drives[j.ID]; d != nil && d.phase != phaseDone {
@@ -172,16 +137,43 @@
 
 // evaluateAll takes a worker's new report into the drives on it.
 func (s *State) evaluateAll(worker string) {
-	for _, id := range sortedKeys(s.drives) {
-		d := s.drives[id]
+	for _, d := range s.drivesOn(worker) {
 		for i := range d.members {
 			if d.members[i].worker == worker {
 				s.evaluate(d, &d.members[i])
 			}
 		}
+		if s.drives[d.job] == d {
+			s.step(d)
+		}
 	}
 }
 
+// setDrive enters a drive.
+func (s *State) setDrive(d *drive) {
+	s.drives[d.job] = d
+	s.byWorker = nil
+}
+
+// drivesOn returns the drives with a member on a worker, in order of their
+// jobs.
+func (s *State) drivesOn(worker string) []*drive {
+	if s.byWorker != nil {
+		return s.byWorker[worker]
+	}
+	s.byWorker = map[string][]*drive{}
+	for _, id := range sortedKeys(s.drives) {
+		d := s.drives[id]
+		for i := range d.members {
+			on := s.byWorker[d.members[i].worker]
+			if len(on) == 0 || on[len(on)-1] != d {
+				s.byWorker[d.members[i].worker] = append(on, d)
+			}
+		}
+	}
+	return s.byWorker[worker]
+}
+
 // evaluate takes what the worker's view says of a member.
 func (s *State) evaluate(d *drive, m *driven) {
 	v := s.view(m.worker)
@@ -218,26 +210,6 @@
 	}
 }
 
-// lapse marks the members whose worker has been silent for longer than their
-// lease.
-func (s *State) lapse(d *drive) {
-	lease := s.lease(len(d.members))
-	for i := range d.members {
-		m := &d.members[i]
-		if !m.ended() && s.now-m.renewed > lease+leaseMargin && s.view(m.worker).silent(s.now) > lease+leaseMargin {
-			m.lapsed = true
-		}
-	}
-}
-
-// lease returns the lease of the members of a gang of n.
-func (s *State) lease(n int) int64 {
-	if n > 1 {
-		return s.GangLease
-	}
-	return s.TaskLease
-}
-
 // stepRecover waits for a word about every member. Running and completed
 // members go on; anything else stops the attempt.
 func (s *State) stepRecover(d *drive) {
@@ -453,197 +425,3 @@
 func (m *driven) ended() bool {
 	return m.lapsed || m.report != nil && m.report.State == upstream.Ended
 }
-
-// renewals returns the tasks on a worker whose leases are to be renewed. A
-// gang is renewed only while every member has been heard of lately, so that
-// the rest lapses when one is lost, even with no placer alive.
-func (s *State) renewals(worker string) []string {
-	var ids []string
-	for _, id := range sortedKeys(s.drives) {
-		d := s.drives[id]
-		if d.phase == phaseStop || d.phase == phaseDone || len(d.members) > 1 && !s.whole(d) {
-			continue
-		}
-		for i := range d.members {
-			if d.members[i].worker == worker {
-				ids = append(ids, d.members[i].task)
-			}
-		}
-	}
-	return ids
-}
-
-// whole reports whether every member of a gang was heard of by this host within
-// half of its lease. A gang that this host has just placed counts as whole for
-// that time. One that it has taken over does not: otherwise each further
-// take-over would keep the rest of a broken gang running for longer.
-func (s *State) whole(d *drive) bool {
-	half := s.GangLease / 2
-	for i := range d.members {
-		m := &d.members[i]
-		if m.ended() && m.report != nil && m.report.End == upstream.Completed {
-			continue
-		}
-		heard := s.view(m.worker).heard
-		if d.phase == phaseReserve || d.phase == phaseStart {
-			heard = max(heard, d.placedAt)
-		}
-		if m.ended() || heard < 0 || s.now-heard > half {
-			return false
-		}
-	}
-	return true
-}
-
-// renewed notes that a renewal sent at the given time has arrived.
-func (s *State) renewed(task string, sent int64) {
-	for _, d := range s.drives {
-		for i := range d.members {
-			if d.members[i].task == task {
-				d.members[i].renewed = max(d.members[i].renewed, sent)
-				return
-			}
-		}
-	}
-}
-
-// conclude writes the end of an attempt whose members have all ended.
-func (s *State) conclude(d *drive) {
-	j := s.Ledger.Jobs[d.job]
-	if j == nil {
-		return
-	}
-	o, ended := s.outcome(j, d)
-	if ended && o.Result == job.Completed {
-		s.early(j.ID, o)
-	}
-	if s.caretaker {
-		// Only the placer's word counts in the log.
-		return
-	}
-	s.enter(d, phaseDone)
-	if ended {
-		s.write(record.Record{End: &record.End{
-			Job: j.ID, Attempt: d.attempt, Term: s.term(), Outcome: o,
-			RunTime: longest(d), FailedOn: d.failedOn,
-		}})
-		return
-	}
-	s.write(record.Record{Requeue: &record.Requeue{
-		Job: j.ID, Attempt: d.attempt, Term: s.term(), NeverStarted: neverStarted(d),
-		FailedOn: d.failedOn, Checkpointed: checkpointed(d), Why: d.cause,
-	}})
-}
-
-// outcome returns the outcome of a job whose attempt is over, or false when
-// the job goes back to the queue.
-func (s *State) outcome(j *ledger.Job, d *drive) (job.Outcome, bool) {
-	never := neverStarted(d)
-	switch {
-	case completedAll(d):
-		return job.Outcome{Result: job.Completed, Answers: answers(d)}, true
-	case j.Cancelled != "" && never:
-		return ledger.CancelledOutcome(j), true
-	case j.Cancelled != "":
-		return job.Ended(job.Failed, fault.Refused, "the job was cancelled by "+j.Cancelled+" while it ran",
-			"submit it again if it is still wanted"), true
-	case never:
-		return job.Outcome{}, false
-	case j.Spec.Once && lapsedAny(d):
-		return job.Ended(job.Unknown, fault.Unknown, d.cause+", and its end is not known",
-			"find out by the job's own effects whether it ran before you submit it under a new key"), true
-	case j.Spec.Once:
-		return job.Ended(job.Failed, fault.Refused, "the job ran in part: "+d.cause,
-			"check what it left behind before you submit it under a new key"), true
-	case d.failedOn != "" && s.failsEverywhere(j, d.failedOn):
-		return job.Ended(job.Failed, fault.Refused, "the job failed on several workers, the last time with: "+d.cause,
-			"correct the job and submit it again"), true
-	}
-	return job.Outcome{}, false
-}
-
-// failsEverywhere reports whether j has failed on enough workers, the last one
-// included, to be at fault itself. Workers that fail everything do not count.
-// A job that has failed on all live workers is at fault too.
-func (s *State) failsEverywhere(j *ledger.Job, last string) bool {
-	on := slices.Clone(j.FailedOn)
-	if !slices.Contains(on, last) {
-		on = append(on, last)
-	}
-	counted := 0
-	for _, name := range on {
-		if w := s.Ledger.Workers[name]; w == nil || len(w.FailedJobs) < ejectAfter {
-			counted++
-		}
-	}
-	left := 0
-	for _, name := range s.Ledger.WorkerNames(s.DataCentre) {
-		if s.Ledger.Workers[name].State == record.Live && !slices.Contains(on, name) {
-			left++
-		}
-	}
-	return counted >= maxFailures || left == 0
-}
-
-// early answers the callers of a completed job on the worker's word, before
-// the log has taken the end.
-func (s *State) early(id string, o job.Outcome) {
-	for _, w := range s.waits[id] {
-		s.reply(Reply{Waiter: w.waiter, Job: id, State: ledger.Finished, Outcome: &o})
-	}
-	delete(s.waits, id)
-}
-
-// completedAll reports whether every member completed.
-func completedAll(d *drive) bool {
-	return every(d, func(m *driven) bool { return m.report != nil && m.report.End == upstream.Completed })
-}
-
-// neverStarted reports whether no member has started, by an arbiter's word. A
-// reservation without a start never runs.
-func neverStarted(d *drive) bool {
-	return every(d, func(m *driven) bool {
-		return m.report != nil && m.report.End == upstream.NeverStarted || m.lapsed && !m.startSent
-	})
-}
-
-// checkpointed reports whether every member that ran saved its progress.
-func checkpointed(d *drive) bool {
-	return every(d, func(m *driven) bool { return m.report != nil && m.report.Checkpointed })
-}
-
-// lapsedAny reports whether the end of any member is not known.
-func lapsedAny(d *drive) bool {
-	return !every(d, func(m *driven) bool { return m.report != nil && m.report.State == upstream.Ended })
-}
-
-// every reports whether ok holds for all members.
-func every(d *drive, ok func(*driven) bool) bool {
-	for i := range d.members {
-		if !ok(&d.members[i]) {
-			return false
-		}
-	}
-	return true
-}
-
-// longest returns the longest run time of a member, in milliseconds.
-func longest(d *drive) int64 {
-	var ms int64
-	for i := range d.members {
-		if r := d.members[i].report; r != nil {
-			ms = max(ms, r.RunTime)
-		}
-	}
-	return ms
-}
-
-// answers locates the members' outputs.
-func answers(d *drive) []job.Answer {
-	as := make([]job.Answer, len(d.members))
-	for i := range d.members {
-		m := &d.members[i]
-		as[i] = job.Answer{Task: m.task, Worker: m.worker, Size: m.report.Size, Sum: m.report.Sum}
-	}
-	return as
-}
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -174,7 +174,7 @@
 	r.Tasks = nil
 	v.report = r
 	for _, t := range e.Renewed {
-		s.renewed(t, e.Sent)
+		s.renewed(e.Worker, t, e.Sent)
 	}
 }
 
--- a/dispatch/placer.go
+++ b/dispatch/placer.go
@@ -11,6 +11,10 @@
 // before it claims the placer role, so that claims seldom race.
 const rankStep = 300
 
+// lookStep is the time between two looks at all heartbeats and all drives, in
+// milliseconds. What concerns one of them is looked at with its own event.
+const lookStep = 10
+
 // placer is the state of the placer role.
 type placer struct {
 	// leading is set while this host drives the data centre's jobs: as placer,
@@ -28,8 +32,14 @@
 	placerLeaving bool
 	// watchSince is when this host began to judge the placer's silence.
 	watchSince int64
-	// drives is keyed by job.
+	// drives is keyed by job. It is changed by setDrive and deleteDrive only.
 	drives map[string]*drive
+	// byWorker is derived from drives: those with a member on a worker, in order
+	// of their jobs. It is nil when it has to be derived anew.
+	byWorker map[string][]*drive
+	// beatAt and driveAt are when the heartbeats and the drives are looked at
+	// again.
+	beatAt, driveAt int64
 	// holds is keyed by job: cells kept free for it.
 	holds map[string]*hold
 	// scheduledAt is when places were last chosen, and dirty is set when
@@ -90,8 +100,14 @@
 	if !s.leading {
 		return
 	}
-	s.beat()
-	s.driveAll()
+	if s.now >= s.beatAt {
+		s.beatAt = s.now + lookStep
+		s.beat()
+	}
+	if s.now >= s.driveAt {
+		s.driveAt = s.now + lookStep
+		s.driveAll()
+	}
 	if !s.caretaker && !s.draining {
 		s.schedule()
 	}
@@ -172,7 +188,7 @@
 	open := s.Ledger.OpenJobs()
 	for _, id := range sortedKeys(open) {
 		if j := open[id]; j.State == ledger.Placed && j.DataCentre == s.DataCentre {
-			s.drives[id] = newDrive(j, phaseRecover, s.now)
+			s.setDrive(newDrive(j, phaseRecover, s.now))
 		}
 	}
 }
@@ -184,6 +200,7 @@
 	}
 	s.leading, s.caretaker = false, false
 	clear(s.drives)
+	s.byWorker = nil
 	clear(s.holds)
 }
 
--- a/dispatch/schedule.go
+++ b/dispatch/schedule.go
@@ -8,7 +8,6 @@
 	"github.com/limpetrelay/limpetrelay/policy"
 	"github.com/limpetrelay/limpetrelay/rack"
 	"github.com/limpetrelay/limpetrelay/record"
-	"github.com/limpetrelay/limpetrelay/upstream"
 )
 
 const (
@@ -31,19 +30,6 @@
 	leastObserved = 8
 )
 
-// hold keeps cells free for a job.
-type hold struct {
-	org      string
-	cells    []rack.Cell
-	abstract []rack.Cell
-	since    int64
-	// placing is set while the Place record is on its way.
-	placing bool
-	// aged is set for the reservation of an aged gang, which waits for its
-	// cells without stopping anyone.
-	aged bool
-}
-
 // coverKey is what covered depends on.
 type coverKey struct {
 	org  string
@@ -271,37 +257,6 @@
 	return config.DefaultGangAge
 }
 
-// placeHeld places a job on the cells that were held for it, once they are
-// free.
-func (s *State) placeHeld(r *planning, j *ledger.Job, h *hold) bool {
-	for _, c := range h.cells {
-		if s.usable(c.Node)&c.Mask != c.Mask {
-			delete(s.holds, j.ID)
-			s.dirty = true
-			return false
-		}
-	}
-	for _, c := range h.cells {
-		if r.plan.Taken(c.Node)&c.Mask != 0 {
-			patience := int64(holdPatience)
-			if h.aged {
-				patience = agedPatience
-			}
-			if s.now-h.since > patience {
-				delete(s.holds, j.ID)
-			}
-			return false
-		}
-	}
-	if len(h.abstract) > 0 && !r.plan.Keeps(h.org, h.cells, h.abstract) {
-		delete(s.holds, j.ID)
-		s.dirty = true
-		return false
-	}
-	s.writePlace(r, j, h.cells, h.abstract)
-	return true
-}
-
 // placeGuaranteed places a job within its organisation's guarantee: on free
 // cells, or by reclaiming cells from borrowers.
 func (s *State) placeGuaranteed(r *planning, c *policy.Candidate, j *ledger.Job, abstract []rack.Cell) bool {
@@ -397,126 +352,3 @@
 	}
 	return &w
 }
-
-// reclaim stops the borrowers on cells and holds the cells for c.
-func (s *State) reclaim(r *planning, c *policy.Candidate, cells, abstract []rack.Cell) {
-	s.holds[c.Job] = &hold{org: c.Organisation, cells: cells, abstract: abstract, since: s.now}
-	r.plan.Take(c.Organisation, nil, abstract)
-	r.use(cells)
-	for _, id := range sortedKeys(s.drives) {
-		d := s.drives[id]
-		j := s.Ledger.Jobs[id]
-		if j == nil || j.Guaranteed || !overlaps(j.Members, cells) {
-			continue
-		}
-		s.observe(j.Spec.Organisation, j.Spec.Class, "reclaimed", 1)
-		s.stopDrive(d, "its cells were reclaimed for the guarantee of "+c.Organisation)
-	}
-	s.dirty = true
-}
-
-// overlaps reports whether any member holds slots of cells.
-func overlaps(ms []record.Member, cells []rack.Cell) bool {
-	for _, m := range ms {
-		for _, c := range cells {
-			if m.Worker == c.Node && m.Mask&c.Mask != 0 {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// cheapest ranks nodes by the work, in seconds, that would be lost by stopping
-// the borrowers on them, and then by best fit.
-func (s *State) cheapest(r *planning) rack.Rank {
-	lost := map[string]int64{}
-	for _, id := range sortedKeys(s.drives) {
-		d := s.drives[id]
-		j := s.Ledger.Jobs[id]
-		if j == nil || j.Guaranteed {
-			continue
-		}
-		cost := s.stopCost(j, d)
-		for _, m := range j.Members {
-			lost[m.Worker] += cost
-		}
-	}
-	return func(n *rack.Node, broken rack.Level) int {
-		if r.free.Node(n.Name) == nil {
-			return 1 << 30
-		}
-		return int(min(lost[n.Name], 1<<40))*rack.NumLevels + int(broken)
-	}
-}
-
-// stopCost returns what stopping a borrower costs: its work so far, in
-// slot-seconds, more for urgent jobs and for each attempt that was stopped
-// before, so that no job is stopped again and again. A once-only job cannot be
-// repeated, so it is stopped last.
-func (s *State) stopCost(j *ledger.Job, d *drive) int64 {
-	const (
-		urgentFactor = 8
-		onceCost     = 1 << 22
-		mostDoubled  = 6
-	)
-	cost := (s.now-d.placedAt)/1000 + 1
-	slots := 0
-	for _, m := range j.Members {
-		slots += m.Mask.Count()
-	}
-	cost *= int64(slots) << min(max(j.Attempt-1, 0), mostDoubled)
-	if j.Spec.Urgent || s.Ledger.Config.Classes[j.Spec.Class].Urgent {
-		cost *= urgentFactor
-	}
-	if j.Spec.Once {
-		cost += onceCost
-	}
-	return cost
-}
-
-// holdAged reserves cells for the oldest aged gang, one at a time. The cells
-// are chosen as if borrowers and running jobs had gone, preferring free ones,
-// and the gang waits for them to become free.
-func (s *State) holdAged(r *planning, c *policy.Candidate) {
-	for _, h := range s.holds {
-		if h.aged {
-			return
-		}
-	}
-	all := r.reclaimable.Clone()
-	for i := range all.Nodes {
-		all.Nodes[i].Used &^= r.plan.Fixed(all.Nodes[i].Name)
-	}
-	cells, ok := all.Place(c.Need, s.soonest(r))
-	if !ok {
-		return
-	}
-	s.holds[c.Job] = &hold{org: c.Organisation, cells: cells, since: s.now, aged: true}
-	r.use(cells)
-}
-
-// soonest ranks nodes by when their jobs are expected to have ended.
-func (s *State) soonest(r *planning) rack.Rank {
-	until := map[string]int64{}
-	for _, id := range sortedKeys(s.drives) {
-		d := s.drives[id]
-		j := s.Ledger.Jobs[id]
-		if j == nil {
-			continue
-		}
-		left := max(0, s.expected(j)-(s.now-d.placedAt)) / 1000
-		for _, m := range j.Members {
-			until[m.Worker] = max(until[m.Worker], left+1)
-		}
-	}
-	return func(n *rack.Node, broken rack.Level) int {
-		if r.free.Node(n.Name) == nil {
-			return 1 << 30
-		}
-		return int(min(until[n.Name], 1<<24))*rack.NumLevels + int(broken)
-	}
-}
-
-// smallEnded reports whether a small task's report is final.
-func smallEnded(r *upstream.TaskReport) bool { return r.State == upstream.Ended }
--- a/dispatch/small.go
+++ b/dispatch/small.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strconv"
 	"strings"
 
@@ -11,7 +10,6 @@
 	"github.com/limpetrelay/limpetrelay/job"
 	"github.com/limpetrelay/limpetrelay/ledger"
 	"github.com/limpetrelay/limpetrelay/rack"
-	"github.com/limpetrelay/limpetrelay/record"
 	"github.com/limpetrelay/limpetrelay/upstream"
 )
 
@@ -55,18 +53,6 @@
 	turnAt int64
 }
 
-// smallView is what the small path knows of a worker.
-type smallView struct {
-	// free is the number of free slots that the worker told at the time at, and
-	// sent the number of slots asked for since.
-	free, sent int
-	at         int64
-	avoidUntil int64
-	inFlight   int
-	// failures counts failed tasks since the last success.
-	failures int
-}
-
 // small is one small request.
 type small struct {
 	Submit
@@ -153,54 +139,6 @@
 	}}})
 }
 
-// chooseWorker returns the better of two random workers that may have room
-// (the power of two choices, Mitzenmacher 2001), or nil.
-func (s *State) chooseWorker(m *small) *ledger.Worker {
-	var best *ledger.Worker
-	bestFree, seen := 0, 0
-	names := s.Ledger.WorkerNames(s.DataCentre)
-	if len(names) == 0 {
-		return nil
-	}
-	start := s.rand.IntN(len(names))
-	for i := range names {
-		w := s.Ledger.Workers[names[(start+i)%len(names)]]
-		if slices.Contains(m.failedOn, w.Name) {
-			continue
-		}
-		free, ok := s.smallRoom(w, m)
-		if !ok {
-			continue
-		}
-		if seen++; best == nil || free > bestFree {
-			best, bestFree = w, free
-		}
-		if seen == 2 {
-			break
-		}
-	}
-	return best
-}
-
-// smallRoom returns how many slots a worker is believed to have free for m.
-func (s *State) smallRoom(w *ledger.Worker, m *small) (int, bool) {
-	if w.State != record.Live || m.Spec.Accelerators > 0 && !w.Accelerated {
-		return 0, false
-	}
-	if h, ok := s.hosts[w.Name]; ok && h.Leaving {
-		return 0, false
-	}
-	v := &s.view(w.Name).small
-	if s.now < v.avoidUntil {
-		return 0, false
-	}
-	free := w.Slots - v.inFlight
-	if s.now-v.at < viewFresh && v.at != 0 {
-		free = v.free - v.sent
-	}
-	return free, free >= m.need.Level.Slots()
-}
-
 // onSmall takes the result of a call.
 func (s *State) onSmall(e *SmallDone) {
 	v := &s.view(e.Worker).small
@@ -217,7 +155,7 @@
 	}
 	m.unsure, m.heard = false, max(m.heard, e.Sent)
 	m.ran = m.ran || e.Report.End != upstream.NeverStarted
-	if !smallEnded(&e.Report.TaskReport) {
+	if e.Report.State != upstream.Ended {
 		m.started = true
 		s.await(m)
 		return
@@ -305,51 +243,6 @@
 	s.letWait(m)
 }
 
-// letWait queues a request that has no worker.
-func (s *State) letWait(m *small) {
-	m.waited = true
-	s.lines.Push(m.Spec.Organisation, m.id, m.began)
-}
-
-// turnSmalls offers the waiting requests to the workers, one organisation after
-// the other.
-func (s *State) turnSmalls() {
-	if s.now < s.turnAt {
-		return
-	}
-	s.turnAt = s.now + waitStep
-	s.lines.Turn(func(id string) bool {
-		m := s.tasks[id]
-		if m == nil || m.worker != "" {
-			return true
-		}
-		if w := s.chooseWorker(m); w != nil {
-			s.sendSmall(m, w)
-			return true
-		}
-		return s.recordSmall(m)
-	})
-}
-
-// recordSmall records a request that has waited long as a job, when its
-// organisation has unused guarantee that could be reclaimed for it. It reports
-// whether it did. The number on their way is bounded, so that an overload of
-// small requests does not become one of the log.
-func (s *State) recordSmall(m *small) bool {
-	if s.now-m.began <= s.SmallPatience || m.ran || s.logDown || s.draining || !s.Ready || len(s.submits) >= maxRecordedSmalls {
-		return false
-	}
-	if _, ok := s.Ledger.Plan(s.DataCentre).Guarantee(m.Spec.Organisation, m.need); !ok {
-		return false
-	}
-	delete(s.tasks, m.id)
-	e := m.Submit
-	e.Wait = m.deadline - s.now
-	s.observe(m.Spec.Organisation, m.Spec.Class, "smallRecorded", 1)
-	s.record(&e, s.DataCentre)
-	return true
-}
-
 // await follows a running task and renews its lease.
 func (s *State) await(m *small) {
 	m.askAt = 0
--- a/ledger/yard.go
+++ b/ledger/yard.go
@@ -189,12 +189,19 @@
 // organisation has unused guarantee that no waiting job of its own could use.
 func (l *Ledger) settle(dc string) {
 	y := l.yard(dc)
-	l.demote(dc, y)
+	placed := l.placed(dc)
+	l.demote(dc, y, placed)
+	guaranteed := map[string][]*Job{}
+	for _, j := range placed {
+		if j.Guaranteed {
+			guaranteed[j.Spec.Organisation] = append(guaranteed[j.Spec.Organisation], j)
+		}
+	}
 	for _, o := range l.Config.Names() {
-		l.compact(dc, y, o)
+		l.compact(dc, y, o, guaranteed[o])
 	}
 	claimed := l.claimed(dc, y)
-	for _, j := range l.placed(dc) {
+	for _, j := range placed {
 		if j.Guaranteed || claimed[j.Spec.Organisation] {
 			continue
 		}
@@ -202,17 +209,11 @@
 	}
 }
 
-// compact binds the guaranteed jobs of an organisation anew, largest first, so
+// compact binds js, the guaranteed jobs of an organisation, anew, largest first, so
 // that small jobs do not keep its large abstract cells broken. Abstract cells
 // are not tied to workers, so this moves nothing; it is undone when the wholer
 // unused guarantee could not be carved out.
-func (l *Ledger) compact(dc string, y *yard, org string) {
-	var js []*Job
-	for _, j := range l.placed(dc) {
-		if j.Guaranteed && j.Spec.Organisation == org {
-			js = append(js, j)
-		}
-	}
+func (l *Ledger) compact(dc string, y *yard, org string, js []*Job) {
 	old := y.abstract[org]
 	if len(js) == 0 || old == nil {
 		return
@@ -288,8 +289,8 @@
 	return js
 }
 
-// demote turns guaranteed jobs into borrowers as settle says.
-func (l *Ledger) demote(dc string, y *yard) {
+// demote turns guaranteed jobs among js into borrowers as settle says.
+func (l *Ledger) demote(dc string, y *yard, js []*Job) {
 	if y.missing() == 0 {
 		return
 	}
@@ -297,7 +298,6 @@
 	if !whole.Carvable(l.Config.Guaranteed(dc)) {
 		return
 	}
-	js := l.placed(dc)
 	for i := len(js) - 1; i >= 0 && y.missing() > 0; i-- {
 		if j := js[i]; j.Guaranteed {
 			y.loosen(j)
--- /dev/null
+++ b/trial/hop_test.go
@@ -0,0 +1,40 @@
+package trial
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetrelay/limpetrelay/standin"
+	"github.com/limpetrelay/limpetrelay/upstream"
+	"github.com/limpetrelay/limpetrelay/wire"
+)
+
+// TestHop measures a small request of no work through an entry host against
+// the same call to the worker itself.
+func TestHop(t *testing.T) {
+	const rounds = 200
+	c := smallCluster(t)
+	w := upstream.NewClient(wire.NewHTTPClient(nil), "http://"+c.workers["w1"].address)
+	payload := standin.Work{Echo: "x"}.Payload()
+	var direct, hop []time.Duration
+	for i := range rounds {
+		began := time.Now()
+		_, err := w.Run(t.Context(), upstream.Run{Wait: 2000, Order: upstream.Order{Task: fmt.Sprint("d-", i), Lease: 1000, Payload: payload}})
+		require.NoError(t, err)
+		direct = append(direct, time.Since(began))
+		began = time.Now()
+		a := c.call("e1", http.MethodPost, "/v1/jobs", body(`,"runTime":100`, standin.Work{Echo: "x"}, 2000))
+		require.Equal(t, "completed", a.result(), "%+v", a)
+		hop = append(hop, time.Since(began))
+	}
+	slices.Sort(direct)
+	slices.Sort(hop)
+	d, h := direct[rounds/2], hop[rounds/2]
+	t.Logf("median to the worker %s, through an entry host %s, ratio %.2f", d, h, float64(h)/float64(d))
+	require.Less(t, h, 50*time.Millisecond, "a hop must not cost a crew its wait")
+}
--- a/workload/workload_test.go
+++ b/workload/workload_test.go
@@ -62,3 +62,19 @@
 		_, _ = os.Stdout.Write(o.Bytes())
 	}
 }
+
+// TestAlone compares each organisation's queue times with running alone on its
+// guaranteed shape.
+func TestAlone(t *testing.T) {
+	for seed := range *tableSeeds {
+		s := Settings{Seed: uint64(seed + 1), Days: *tableDays, Load: *tableLoad, CompletionWeight: 1, FragmentationWeight: 1}
+		together := Run(s, policy.Cells)
+		for _, org := range []string{"skimworks", "bureau", "feedBuyers"} {
+			s.Only = org
+			alone := Run(s, policy.Cells).Organisations[org]
+			with := together.Organisations[org]
+			t.Logf("seed %d %s: %d jobs, queue p50 %.1f s p99 %.1f s; alone %d jobs, p50 %.1f s p99 %.1f s",
+				s.Seed, org, with.Jobs, with.Queue.P50, with.Queue.P99, alone.Jobs, alone.Queue.P50, alone.Queue.P99)
+		}
+	}
+}
