--- a/ledger/bench_test.go
+++ b/ledger/bench_test.go
@@ -16,19 +16,21 @@
 
 // filled returns a ledger with n workers, 22 organisations, a gang of eight
 // tasks per two workers and a day's ended jobs at the target's rate, and the
-// number of records that it took.
-func filled(n int) (l *ledger.Ledger, records int) {
+// number of records that it took with the sum of their bytes.
+func filled(n int) (l *ledger.Ledger, records, size int) {
 	l = &ledger.Ledger{}
 	seq := uint64(0)
-	write := func(r record.Record) ledger.Verdict {
+	write := func(r record.Record) {
 		seq++
 		r.Host, r.Incarnation, r.Sequence, r.At = "e1", "e1.1", seq, 1_800_000_000_000
+		if b, err := record.Encode([]record.Record{r}); err == nil {
+			size += len(b)
+		}
 		v := l.Apply(seq-1, r)
 		l.Advance(seq - 1)
 		if v.Err != nil {
 			panic(v.Err)
 		}
-		return v
 	}
 	write(record.Record{Claim: &record.Claim{DataCentre: dc, Term: 1}})
 	for i := range n {
@@ -64,13 +66,13 @@
 		}
 		write(record.Record{End: &record.End{Job: id, Attempt: 0, Term: 1, Outcome: o, RunTime: 3_600_000}})
 	}
-	return l, int(seq)
+	return l, int(seq), size
 }
 
 func BenchmarkSnapshot(b *testing.B) {
 	for _, n := range sizes {
 		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
-			l, _ := filled(n)
+			l, _, _ := filled(n)
 			b.ReportAllocs()
 			size := 0
 			for b.Loop() {
@@ -88,7 +90,7 @@
 func BenchmarkRestore(b *testing.B) {
 	for _, n := range sizes {
 		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
-			l, _ := filled(n)
+			l, _, _ := filled(n)
 			data, err := l.Snapshot()
 			if err != nil {
 				b.Fatal(err)
@@ -107,10 +109,11 @@
 	for _, n := range sizes {
 		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
 			b.ReportAllocs()
-			records := 0
+			records, size := 0, 0
 			for b.Loop() {
-				_, records = filled(n)
+				_, records, size = filled(n)
 			}
+			b.ReportMetric(float64(size)/float64(records), "bytes/record")
 			b.ReportMetric(float64(records)*float64(b.N)/b.Elapsed().Seconds(), "records/s")
 		})
 	}
@@ -119,7 +122,7 @@
 func BenchmarkCheck(b *testing.B) {
 	for _, n := range sizes {
 		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
-			l, _ := filled(n)
+			l, _, _ := filled(n)
 			for b.Loop() {
 				l.Check()
 			}
