--- a/cmd/limpetrelay/check.go
+++ b/cmd/limpetrelay/check.go
@@ -41,10 +41,11 @@
 		Description: "The keys, with an example:\n\n" + settingsExample + "\n" + exitCodes,
 		Flags:       []cli.Flag{outputFlag()},
 		Action: func(_ context.Context, c *cli.Command) error {
-			if c.Args().Len() != 1 {
-				return fault.New(fault.Invalid, "a file is missing", "give one settings file")
+			file, err := oneArgument(c, "a settings file")
+			if err != nil {
+				return err
 			}
-			_, problems := settings.Load(c.Args().First())
+			_, problems := settings.Load(file)
 			if problems == nil {
 				problems = []settings.Problem{}
 			}
--- a/cmd/limpetrelay/client.go
+++ b/cmd/limpetrelay/client.go
@@ -83,6 +83,26 @@
 	}
 }
 
+// clientAction returns an action that is given the client that the flags ask
+// for.
+func clientAction(run func(context.Context, *cli.Command, *client) error) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		cl, err := newClient(c)
+		if err != nil {
+			return err
+		}
+		return run(ctx, c, cl)
+	}
+}
+
+// oneArgument returns the only argument, which the error calls what.
+func oneArgument(c *cli.Command, what string) (string, error) {
+	if c.Args().Len() != 1 {
+		return "", fault.Newf(fault.Invalid, "give exactly one", "%s is missing, or there are several", what)
+	}
+	return c.Args().First(), nil
+}
+
 // call sends a request to the first host that takes it and decodes the
 // response into v. A request is sent to a further host only when nothing was
 // done at the one before.
--- a/cmd/limpetrelay/config.go
+++ b/cmd/limpetrelay/config.go
@@ -35,32 +35,28 @@
 		Commands: []*cli.Command{
 			{
 				Name: "show", Usage: "show the configuration in force", Flags: []cli.Flag{hostFlag(), outputFlag()},
-				Action: configShow,
+				Action: clientAction(configShow),
 			},
 			{
 				Name: "history", Usage: "show who changed what", Flags: []cli.Flag{hostFlag(), outputFlag()},
-				Action: configHistory,
+				Action: clientAction(configHistory),
 			},
 			{
 				Name: "diff", Usage: "show what a patch would change", ArgsUsage: "FILE",
 				Description: patchExample + exitCodes, Flags: []cli.Flag{hostFlag(), outputFlag()},
-				Action: configDiff,
+				Action: clientAction(configDiff),
 			},
 			{
 				Name: "patch", Usage: "submit a patch", ArgsUsage: "FILE", Description: patchExample + exitCodes,
 				Flags:  []cli.Flag{hostFlag(), outputFlag(), &cli.BoolFlag{Name: "dry-run", Usage: "only check it"}},
-				Action: configPatch,
+				Action: clientAction(configPatch),
 			},
 		},
 	}
 }
 
 // configShow runs `limpetrelay config show`.
-func configShow(ctx context.Context, c *cli.Command) error {
-	cl, err := newClient(c)
-	if err != nil {
-		return err
-	}
+func configShow(ctx context.Context, c *cli.Command, cl *client) error {
 	var cfg config.Config
 	if err := cl.call(ctx, http.MethodGet, "/v1/config", nil, &cfg, 0); err != nil {
 		return err
@@ -96,11 +92,7 @@
 }
 
 // configHistory runs `limpetrelay config history`.
-func configHistory(ctx context.Context, c *cli.Command) error {
-	cl, err := newClient(c)
-	if err != nil {
-		return err
-	}
+func configHistory(ctx context.Context, c *cli.Command, cl *client) error {
 	var h historyAnswer
 	if err := cl.call(ctx, http.MethodGet, "/v1/config/history", nil, &h, 0); err != nil {
 		return err
@@ -117,13 +109,14 @@
 
 // readPatch reads the patch that the arguments name.
 func readPatch(c *cli.Command) (*config.Patch, error) {
-	if c.Args().Len() != 1 {
-		return nil, fault.New(fault.Invalid, "a file is missing", "give one file, or - for standard input")
+	file, err := oneArgument(c, "a file (or - for standard input)")
+	if err != nil {
+		return nil, err
 	}
-	if c.Args().First() == "-" {
+	if file == "-" {
 		return config.ParsePatch(c.Root().Reader)
 	}
-	f, err := os.Open(c.Args().First())
+	f, err := os.Open(file)
 	if err != nil {
 		return nil, fault.Newf(fault.Invalid, "give the path of a readable file", "cannot read the patch: %v", err)
 	}
@@ -143,11 +136,7 @@
 }
 
 // configPatch runs `limpetrelay config patch`.
-func configPatch(ctx context.Context, c *cli.Command) error {
-	cl, err := newClient(c)
-	if err != nil {
-		return err
-	}
+func configPatch(ctx context.Context, c *cli.Command, cl *client) error {
 	p, err := readPatch(c)
 	if err != nil {
 		return err
@@ -166,11 +155,7 @@
 }
 
 // configDiff runs `limpetrelay config diff`.
-func configDiff(ctx context.Context, c *cli.Command) error {
-	cl, err := newClient(c)
-	if err != nil {
-		return err
-	}
+func configDiff(ctx context.Context, c *cli.Command, cl *client) error {
 	p, err := readPatch(c)
 	if err != nil {
 		return err
--- a/cmd/limpetrelay/jobs.go
+++ b/cmd/limpetrelay/jobs.go
@@ -51,18 +51,15 @@
 			&cli.StringFlag{Name: "payload", Usage: "payload"},
 			&cli.StringFlag{Name: "payload-file", Usage: "file with the payload"},
 		},
-		Action: submit,
+		Action: clientAction(submit),
 	}
 }
 
 // submit runs `limpetrelay submit`.
-func submit(ctx context.Context, c *cli.Command) error {
-	cl, err := newClient(c)
-	if err != nil {
-		return err
-	}
+func submit(ctx context.Context, c *cli.Command, cl *client) error {
 	payload := []byte(c.String("payload"))
 	if f := c.String("payload-file"); f != "" {
+		var err error
 		if payload, err = os.ReadFile(f); err != nil {
 			return fault.Newf(fault.Invalid, "give the path of a readable file", "cannot read the payload: %v", err)
 		}
@@ -111,16 +108,12 @@
 			&cli.StringFlag{Name: "key"},
 			&cli.DurationFlag{Name: "wait", Usage: "how long to wait for the outcome"},
 		},
-		Action: status,
+		Action: clientAction(status),
 	}
 }
 
 // status runs `limpetrelay status`.
-func status(ctx context.Context, c *cli.Command) error {
-	cl, err := newClient(c)
-	if err != nil {
-		return err
-	}
+func status(ctx context.Context, c *cli.Command, cl *client) error {
 	path := "/v1/jobs/" + url.PathEscape(c.Args().First())
 	switch {
 	case c.String("key") != "":
@@ -187,16 +180,13 @@
 			hostFlag(), outputFlag(),
 			&cli.StringFlag{Name: "by", Required: true, Usage: "who cancels"},
 		},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			cl, err := newClient(c)
+		Action: clientAction(func(ctx context.Context, c *cli.Command, cl *client) error {
+			id, err := oneArgument(c, "a job ID")
 			if err != nil {
 				return err
 			}
-			if c.Args().Len() != 1 {
-				return fault.New(fault.Invalid, "a job ID is missing", "give one job ID")
-			}
 			var a jobAnswer
-			path := "/v1/jobs/" + url.PathEscape(c.Args().First()) + "/cancel"
+			path := "/v1/jobs/" + url.PathEscape(id) + "/cancel"
 			body := struct {
 				By string `json:"by"`
 			}{c.String("by")}
@@ -204,7 +194,7 @@
 				return err
 			}
 			return finish(c, &a, false)
-		},
+		}),
 	}
 }
 
@@ -219,15 +209,12 @@
 			hostFlag(),
 			&cli.IntFlag{Name: "member", Usage: "member, from 0"},
 		},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			cl, err := newClient(c)
+		Action: clientAction(func(ctx context.Context, c *cli.Command, cl *client) error {
+			id, err := oneArgument(c, "a job ID")
 			if err != nil {
 				return err
 			}
-			if c.Args().Len() != 1 {
-				return fault.New(fault.Invalid, "a job ID is missing", "give one job ID")
-			}
-			return cl.download(ctx, c.Root().Writer, c.Args().First(), c.Int("member"))
-		},
+			return cl.download(ctx, c.Root().Writer, id, c.Int("member"))
+		}),
 	}
 }
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -13,6 +13,7 @@
 	"github.com/limpetrelay/limpetrelay/config"
 	"github.com/limpetrelay/limpetrelay/job"
 	"github.com/limpetrelay/limpetrelay/rack"
+	"github.com/limpetrelay/limpetrelay/retry"
 	"github.com/limpetrelay/limpetrelay/standin"
 )
 
@@ -235,7 +236,7 @@
 	d.submit(ctx, "gulf-a-0", refused, longWait)
 	wg.Wait()
 	d.out("assays were served; the once-only reconciliation was refused with %q", refused.note)
-	pause(ctx, 4*time.Second)
+	retry.Pause(ctx, 4*time.Second)
 	d.log.SetFaults(standin.LogFaults{})
 	if err := until(ctx, "the log is back", func() bool { return !d.hosts["gulf-a-0"].View().LogDown }); err != nil {
 		return err
@@ -271,16 +272,6 @@
 	return n
 }
 
-// pause waits for d.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // judged is a Result with the messages.
 type judged struct {
 	Result
--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -15,6 +15,7 @@
 	"github.com/limpetrelay/limpetrelay/job"
 	"github.com/limpetrelay/limpetrelay/platform"
 	"github.com/limpetrelay/limpetrelay/rack"
+	"github.com/limpetrelay/limpetrelay/retry"
 	"github.com/limpetrelay/limpetrelay/standin"
 )
 
@@ -55,7 +56,7 @@
 // call sends requests until ctx ends.
 func (c *callers) call(ctx context.Context, i int, rnd *rand.Rand) {
 	for n := 0; ctx.Err() == nil; n++ {
-		pause(ctx, time.Duration(rnd.IntN(1500))*time.Millisecond)
+		retry.Pause(ctx, time.Duration(rnd.IntN(1500))*time.Millisecond)
 		t := c.newRequest(fmt.Sprintf("c%d-%d", i, n), rnd)
 		c.mu.Lock()
 		c.told = append(c.told, t)
@@ -91,7 +92,7 @@
 	for try := 0; try < 4 && ctx.Err() == nil; try++ {
 		hosts := c.w.hostNames()
 		if len(hosts) == 0 {
-			pause(ctx, time.Second)
+			retry.Pause(ctx, time.Second)
 			continue
 		}
 		r, err := c.w.submit(hosts[rnd.IntN(len(hosts))], t.Spec, time.Duration(4000+rnd.IntN(8000))*time.Millisecond)
@@ -102,7 +103,7 @@
 		if t.Job != "" && rnd.IntN(6) == 0 {
 			c.cancel(t, hosts[rnd.IntN(len(hosts))])
 		}
-		pause(ctx, time.Duration(rnd.IntN(3000))*time.Millisecond)
+		retry.Pause(ctx, time.Duration(rnd.IntN(3000))*time.Millisecond)
 	}
 }
 
@@ -146,7 +147,7 @@
 // operate submits patches, some of them raced at two hosts.
 func (c *callers) operate(ctx context.Context, rnd *rand.Rand) {
 	for ctx.Err() == nil {
-		pause(ctx, time.Duration(rnd.IntN(6000))*time.Millisecond)
+		retry.Pause(ctx, time.Duration(rnd.IntN(6000))*time.Millisecond)
 		hosts := c.w.hostNames()
 		if len(hosts) == 0 {
 			continue
@@ -212,7 +213,7 @@
 		}
 		return true
 	})
-	pause(w.ctx, 30*time.Second)
+	retry.Pause(w.ctx, 30*time.Second)
 }
 
 // listWorker enters a worker into the list.
--- a/entry/history_test.go
+++ b/entry/history_test.go
@@ -14,6 +14,7 @@
 	"github.com/limpetrelay/limpetrelay/config"
 	"github.com/limpetrelay/limpetrelay/fault"
 	"github.com/limpetrelay/limpetrelay/job"
+	"github.com/limpetrelay/limpetrelay/retry"
 	"github.com/limpetrelay/limpetrelay/standin"
 )
 
@@ -115,7 +116,7 @@
 func (w *world) logTrouble(ctx context.Context, seed uint64) {
 	rnd := rand.New(rand.NewPCG(seed, 3))
 	for ctx.Err() == nil {
-		pause(ctx, time.Duration(rnd.IntN(4000))*time.Millisecond)
+		retry.Pause(ctx, time.Duration(rnd.IntN(4000))*time.Millisecond)
 		w.log.SetFaults([]standin.LogFaults{
 			{}, {}, {Down: true}, {LoseAnswers: true}, {LoseAnswers: true, LateApply: 700 * time.Millisecond}, {Delay: 200 * time.Millisecond},
 		}[rnd.IntN(6)])
@@ -136,7 +137,7 @@
 			defer wg.Done()
 			rnd := rand.New(rand.NewPCG(seed, uint64(i)))
 			for ctx.Err() == nil {
-				pause(ctx, time.Duration(rnd.IntN(1000))*time.Millisecond)
+				retry.Pause(ctx, time.Duration(rnd.IntN(1000))*time.Millisecond)
 				fn(r, i, w.hostNames()[rnd.IntN(3)], rnd)
 			}
 		}()
--- a/entry/overload_test.go
+++ b/entry/overload_test.go
@@ -14,6 +14,7 @@
 	"github.com/limpetrelay/limpetrelay/config"
 	"github.com/limpetrelay/limpetrelay/job"
 	"github.com/limpetrelay/limpetrelay/rack"
+	"github.com/limpetrelay/limpetrelay/retry"
 	"github.com/limpetrelay/limpetrelay/standin"
 )
 
@@ -82,7 +83,7 @@
 				l.failed++
 			}
 		}()
-		pause(ctx, gap)
+		retry.Pause(ctx, gap)
 	}
 	wg.Wait()
 	slices.Sort(took)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/limpetrelay/limpetrelay/peer"
 	"github.com/limpetrelay/limpetrelay/platform"
+	"github.com/limpetrelay/limpetrelay/retry"
 	"github.com/limpetrelay/limpetrelay/upstream"
 	"github.com/limpetrelay/limpetrelay/wire"
 )
@@ -58,7 +59,7 @@
 		h.Logger.Info("draining")
 		h.Drain(work)
 		err = <-ran
-		pause(work, linger)
+		retry.Pause(work, linger)
 	case err = <-failed:
 		failed <- nil
 		cancel()
--- a/entry/snapshots.go
+++ b/entry/snapshots.go
@@ -10,6 +10,7 @@
 	"github.com/limpetrelay/limpetrelay/ledger"
 	"github.com/limpetrelay/limpetrelay/peer"
 	"github.com/limpetrelay/limpetrelay/platform"
+	"github.com/limpetrelay/limpetrelay/retry"
 	"github.com/limpetrelay/limpetrelay/wire"
 )
 
@@ -126,7 +127,7 @@
 	}
 	if l == nil || l.Next < h.View().Next || !h.bridges(ctx, l.Next) {
 		h.Logger.Warn("no snapshot bridges the gap", "why", *h.recover.Load())
-		pause(ctx, restorePause)
+		retry.Pause(ctx, restorePause)
 		return
 	}
 	h.recover.Store(nil)
--- a/entry/soak_test.go
+++ b/entry/soak_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/limpetrelay/limpetrelay/internal/fixedseed"
 	"github.com/limpetrelay/limpetrelay/rack"
+	"github.com/limpetrelay/limpetrelay/retry"
 	"github.com/limpetrelay/limpetrelay/standin"
 )
 
@@ -113,7 +114,7 @@
 func (w *world) run(ctx context.Context, script []step, seed uint64) {
 	rnd := rand.New(rand.NewPCG(seed, 7))
 	for _, s := range script {
-		pause(ctx, s.After)
+		retry.Pause(ctx, s.After)
 		if ctx.Err() != nil {
 			return
 		}
@@ -124,7 +125,7 @@
 // later undoes a fault after a while.
 func (w *world) later(ctx context.Context, d time.Duration, undo func()) {
 	go func() {
-		pause(ctx, d)
+		retry.Pause(ctx, d)
 		undo()
 	}()
 }
@@ -239,7 +240,7 @@
 		dc := w.dataCentre(n)
 		w.killHost(n)
 		w.startHost(n, dc)
-		pause(ctx, 2*time.Second)
+		retry.Pause(ctx, 2*time.Second)
 	}
 }
 
--- a/entry/tail.go
+++ b/entry/tail.go
@@ -9,6 +9,7 @@
 	"github.com/limpetrelay/limpetrelay/fault"
 	"github.com/limpetrelay/limpetrelay/peer"
 	"github.com/limpetrelay/limpetrelay/platform"
+	"github.com/limpetrelay/limpetrelay/retry"
 )
 
 const (
@@ -37,7 +38,7 @@
 			ok = h.tailLog(ctx, &v)
 		}
 		if !ok {
-			pause(ctx, tailPause)
+			retry.Pause(ctx, tailPause)
 		}
 	}
 }
@@ -86,17 +87,7 @@
 	for ctx.Err() == nil {
 		hosts, err := h.Directory.List(ctx)
 		h.apply(ctx, dispatch.Event{Hosts: &dispatch.Hosts{Hosts: hosts, Err: err}})
-		pause(ctx, listEvery)
-	}
-}
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+		retry.Pause(ctx, listEvery)
 	}
 }
 
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -14,6 +14,7 @@
 	"github.com/limpetrelay/limpetrelay/job"
 	"github.com/limpetrelay/limpetrelay/peer"
 	"github.com/limpetrelay/limpetrelay/platform"
+	"github.com/limpetrelay/limpetrelay/retry"
 	"github.com/limpetrelay/limpetrelay/standin"
 	"github.com/limpetrelay/limpetrelay/upstream"
 )
@@ -123,7 +124,7 @@
 	w.mu.Unlock()
 	go r.inspect(w.ctx, func(*dispatch.State) { <-gate })
 	go func() {
-		pause(w.ctx, d)
+		retry.Pause(w.ctx, d)
 		w.thaw(r)
 	}()
 }
@@ -238,14 +239,14 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	d := w.delay(from, to)
-	pause(ctx, d)
+	retry.Pause(ctx, d)
 	if !w.reaches(from, to) {
 		<-ctx.Done()
 		return zero, fault.New(fault.Unknown, "the request may be lost", "ask again")
 	}
 	// What has been sent arrives also when the sender dies meanwhile.
 	res, err := fn(ctx)
-	pause(ctx, d)
+	retry.Pause(ctx, d)
 	if !w.reaches(to, from) {
 		<-ctx.Done()
 	}
@@ -378,7 +379,7 @@
 		if time.Now().After(end) {
 			return false
 		}
-		pause(w.ctx, 10*time.Millisecond)
+		retry.Pause(w.ctx, 10*time.Millisecond)
 	}
 	return true
 }
--- /dev/null
+++ b/retry/pause.go
@@ -0,0 +1,16 @@
+package retry
+
+import (
+	"context"
+	"time"
+)
+
+// Pause waits for d or until ctx ends.
+func Pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
