--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -375,3 +375,42 @@
 	require.True(t, v.Ended)
 	require.Equal(t, job.Failed, v.Job.Outcome.Result, "it has run in part")
 }
+
+// TestOldTermIsRefused lets a placer that was replaced write everything that a
+// placer writes, under its own term and under its successor's.
+func TestOldTermIsRefused(t *testing.T) {
+	m := newLedger(t, rack.Shape{})
+	seq := map[string]uint64{"e1": 100}
+	write := func(host string, r record.Record) ledger.Verdict {
+		seq[host]++
+		r.Host, r.Incarnation, r.Sequence, r.At = host, host+".1", seq[host], 5
+		v := m.l.Apply(m.offset, r)
+		m.l.Advance(m.offset)
+		m.offset++
+		return v
+	}
+	accept := func(id string) {
+		require.NoError(t, write("e3", record.Record{Accept: &record.Accept{Job: id, DataCentre: dc,
+			Spec: job.Spec{Organisation: "lender", Class: "c", Accelerators: 8}}}).Err)
+	}
+	place := func(id, worker string, term uint64) record.Record {
+		return record.Record{Place: &record.Place{Job: id, Attempt: 1, Term: term,
+			Members: []record.Member{{Worker: worker, Incarnation: "1", Mask: 0xff}}}}
+	}
+	accept("running")
+	accept("waiting")
+	require.NoError(t, write("e1", place("running", "w0", 1)).Err)
+	require.NoError(t, write("e2", record.Record{Claim: &record.Claim{DataCentre: dc, Term: 2}}).Err)
+	for _, term := range []uint64{1, 2} {
+		for _, r := range []record.Record{
+			{Requeue: &record.Requeue{Job: "running", Attempt: 1, Term: term}},
+			{End: &record.End{Job: "running", Attempt: 1, Term: term, Outcome: job.Outcome{Result: job.Completed}}},
+			place("waiting", "w1", term),
+			{Worker: &record.Worker{Name: "w5", DataCentre: dc, Rack: "r0", Slots: 8, Accelerated: true, Incarnation: "1", Term: term, State: record.Gone}},
+		} {
+			require.Equal(t, fault.Conflict, fault.KindOf(write("e1", r).Err), "%+v", r)
+		}
+	}
+	require.Equal(t, ledger.Placed, m.l.Jobs["running"].State)
+	require.NoError(t, write("e2", place("waiting", "w1", 2)).Err)
+}
