Demo on listeners of its own

Ruled out: a lost claim or record (34 further starts came through, and the goroutine dump of a slow one showed ordinary progress). Probable cause, not seen: a port that was free a moment ago was taken by another process, so that a host could not listen and the demo waited for it in vain. Change: the demo hands open listeners to Serve; the trial tests never give the same address twice. TestRun plays the demo.

--- a/demo/yard.go
+++ b/demo/yard.go
@@ -50,9 +50,9 @@
 
 // serve serves mux on a free port of loopback and returns its address.
 func (y *yard) serve(mux http.Handler) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := listen()
 	if err != nil {
-		return "", errors.Wrap(err, "listen on loopback")
+		return "", err
 	}
 	const headerTimeout = 5 * time.Second
 	s := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
@@ -82,10 +82,10 @@
 func (y *yard) addHost(ctx context.Context, name, dc string) error {
 	var a entry.Addresses
 	var err error
-	if a.Callers, err = freeAddress(); err != nil {
+	if a.CallersListener, err = listen(); err != nil {
 		return err
 	}
-	if a.Peers, err = freeAddress(); err != nil {
+	if a.PeersListener, err = listen(); err != nil {
 		return err
 	}
 	h := &entry.Host{Settings: entry.Settings{
@@ -94,10 +94,10 @@
 	}}
 	h.Seams = entry.NetworkSeams("http://"+y.platform, nil)
 	ctx, stop := context.WithCancel(ctx)
-	r := &host{Host: h, address: "http://" + a.Callers, stop: stop, ended: make(chan error, 1)}
+	r := &host{Host: h, address: "http://" + a.CallersListener.Addr().String(), stop: stop, ended: make(chan error, 1)}
 	y.hosts[name] = r
 	go func() { r.ended <- h.Serve(ctx, a) }()
-	y.dir.Set(platform.Host{Name: name, Kind: platform.KindEntry, DataCentre: dc, Address: a.Peers})
+	y.dir.Set(platform.Host{Name: name, Kind: platform.KindEntry, DataCentre: dc, Address: a.PeersListener.Addr().String()})
 	return nil
 }
 
@@ -142,12 +142,8 @@
 	return nil
 }
 
-// freeAddress returns an address of loopback that was free a moment ago.
-func freeAddress() (string, error) {
+// listen listens on a free port of loopback.
+func listen() (net.Listener, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "find a free port")
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return l, errors.Wrap(err, "listen on loopback")
 }
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -32,6 +33,8 @@
 	Callers string
 	// Peers is the IP number and port for the other entry hosts.
 	Peers string
+	// CallersListener and PeersListener, when set, are used instead.
+	CallersListener, PeersListener net.Listener
 }
 
 // Serve runs h with HTTP servers until ctx ends, and then drains: it refuses
@@ -46,7 +49,9 @@
 	// The work outlives ctx, whose end only starts the drain.
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	servers := []*khttp.Server{newServer(a.Callers, h.closing(callers)), newServer(a.Peers, peers)}
+	servers := []*khttp.Server{newServer(a.Callers, a.CallersListener, h.closing(callers)),
+		newServer(a.Peers, a.PeersListener, peers),
+	}
 	failed := make(chan error, len(servers))
 	for _, s := range servers {
 		go func() { failed <- s.Start(work) }()
@@ -96,8 +101,12 @@
 
 // newServer returns a server without a time limit of its own, since callers
 // wait for jobs.
-func newServer(address string, mux http.Handler) *khttp.Server {
-	s := khttp.NewServer(khttp.Address(address), khttp.Timeout(0))
+func newServer(address string, l net.Listener, mux http.Handler) *khttp.Server {
+	options := []khttp.ServerOption{khttp.Address(address), khttp.Timeout(0)}
+	if l != nil {
+		options = append(options, khttp.Listener(l))
+	}
+	s := khttp.NewServer(options...)
 	s.HandlePrefix("/", mux)
 	return s
 }
--- a/trial/processes_test.go
+++ b/trial/processes_test.go
@@ -175,13 +175,23 @@
 	require.Eventually(c.t, ok, 15*time.Second, 20*time.Millisecond, what)
 }
 
-// freeAddress returns an address that was free a moment ago.
+// given holds the addresses that freeAddress has given away.
+var given = map[string]bool{}
+
+// freeAddress returns an address that was free a moment ago, and never the same
+// one twice.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		a := l.Addr().String()
+		require.NoError(t, l.Close())
+		if !given[a] {
+			given[a] = true
+			return a
+		}
+	}
 }
 
 // logFile returns where a process writes its log.
