Answer a question that comes before the host runs

Cause: a start of the demo hung, and three of 24 under load. The first guess, a taken port, was wrong: with listeners of its own it still happened. The goroutine dump showed a question blocked on sending to the reducer while the reducer waited for events: the channels of the zero Host were made after the question had looked at them, so it waited on nil channels for ever. Change: every way to the reducer makes the zero value whole first.

Conclusion: zero values work only where each entry point makes them whole.

--- a/entry/host.go
+++ b/entry/host.go
@@ -237,6 +237,7 @@
 // post hands an event to the reducer. It returns false when ctx or the host
 // has ended.
 func (h *Host) post(ctx context.Context, e dispatch.Event) bool {
+	h.init()
 	select {
 	case h.events <- event{Event: e}:
 		return true
@@ -259,6 +260,7 @@
 
 // send hands e to the loop and waits until it was applied.
 func (h *Host) send(ctx context.Context, e event) bool {
+	h.init()
 	done := make(chan struct{})
 	e.applied = done
 	select {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -66,6 +67,7 @@
 		err = <-ran
 		retry.Pause(work, linger)
 	case err = <-failed:
+		h.Logger.Error("a server has ended", "error", fmt.Sprint(err))
 		failed <- nil
 		cancel()
 		err = errors.CombineErrors(err, <-ran)
--- /dev/null
+++ b/entry/zero_test.go
@@ -0,0 +1,36 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestAskedBeforeRun asks a host before anything else has touched it. It is
+// answered once the host runs.
+func TestAskedBeforeRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t.Context(), t)
+		r := &running{}
+		h := &Host{Settings: Settings{}}
+		h.Settings.Host, h.DataCentre, h.Incarnation = "a-e0", "a", "a-e0.1"
+		h.Seams = w.seams("a-e0", r)
+		asked := make(chan int, 1)
+		go func() { asked <- h.LiveWorkers(t.Context()) }()
+		synctest.Wait()
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- h.Run(ctx) }()
+		select {
+		case n := <-asked:
+			require.Zero(t, n)
+		case <-time.After(time.Minute):
+			require.Fail(t, "the question is never answered")
+		}
+		cancel()
+		require.NoError(t, <-ended)
+	})
+}
