--- a/workload/workload_test.go
+++ b/workload/workload_test.go
@@ -9,6 +9,8 @@
 	"sync"
 	"testing"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/limpetrelay/limpetrelay/policy"
 )
 
@@ -64,7 +66,7 @@
 }
 
 // TestAlone compares each organisation's queue times with running alone on its
-// guaranteed shape.
+// guaranteed shape. No organisation may be worse off by more than a tick.
 func TestAlone(t *testing.T) {
 	for seed := range *tableSeeds {
 		s := Settings{Seed: uint64(seed + 1), Days: *tableDays, Load: *tableLoad, CompletionWeight: 1, FragmentationWeight: 1}
@@ -75,6 +77,8 @@
 			with := together.Organisations[org]
 			t.Logf("seed %d %s: %d jobs, queue p50 %.1f s p99 %.1f s; alone %d jobs, p50 %.1f s p99 %.1f s",
 				s.Seed, org, with.Jobs, with.Queue.P50, with.Queue.P99, alone.Jobs, alone.Queue.P50, alone.Queue.P99)
+			require.LessOrEqual(t, with.Queue.P50, alone.Queue.P50+tickTime/1000, "seed %d %s", s.Seed, org)
+			require.LessOrEqual(t, with.Queue.P99, alone.Queue.P99+tickTime/1000, "seed %d %s", s.Seed, org)
 		}
 	}
 }
