Set the stand-in log's retention under its lock

Ruled out: a race of the product (the report names the test and the stand-in). Change: SetRetention.

--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -128,7 +128,7 @@
 // has dropped its records and every host was replaced.
 func TestOnceAfterRetention(t *testing.T) {
 	inTunedWorld(t, func(s *Settings) { s.SnapshotRecords, s.SnapshotEvery = 1000, 30*time.Second }, func(t *testing.T, w *world) {
-		w.log.Retention = 2 * time.Minute
+		w.log.SetRetention(2 * time.Minute)
 		r, err := w.submit("a-e0", bill(500), 20*time.Second)
 		require.NoError(t, err)
 		require.NotNil(t, r.Outcome)
--- a/entry/serving_test.go
+++ b/entry/serving_test.go
@@ -181,7 +181,7 @@
 // patches, and freezes one host with its old state across it.
 func TestConfigNeverReverts(t *testing.T) {
 	inTunedWorld(t, func(s *Settings) { s.SnapshotRecords, s.SnapshotEvery = 20, 30*time.Second }, func(t *testing.T, w *world) {
-		w.log.Retention = time.Minute
+		w.log.SetRetention(time.Minute)
 		w.freeze("a-e2", 5*time.Minute)
 		for i := range 30 {
 			_, err := w.patch("a-e0", config.Patch{Base: w.host("a-e0").View().Version, Author: "op", Changes: []config.Change{
@@ -207,7 +207,7 @@
 // the dropped records.
 func TestGapKeepsNotReady(t *testing.T) {
 	inTunedWorld(t, func(s *Settings) { s.SnapshotRecords, s.SnapshotEvery = 100_000, 24*time.Hour }, func(t *testing.T, w *world) {
-		w.log.Retention = time.Minute
+		w.log.SetRetention(time.Minute)
 		time.Sleep(5 * time.Minute)
 		for _, h := range w.hostNames() {
 			w.killHost(h)
@@ -226,7 +226,7 @@
 // state.
 func TestFreshHostFromPeer(t *testing.T) {
 	inTunedWorld(t, func(s *Settings) { s.SnapshotRecords, s.SnapshotEvery = 100_000, 24*time.Hour }, func(t *testing.T, w *world) {
-		w.log.Retention = time.Minute
+		w.log.SetRetention(time.Minute)
 		time.Sleep(5 * time.Minute)
 		began := time.Now()
 		w.startHost("a-e9", "a")
@@ -264,7 +264,7 @@
 // lease and than the retention, with its placer dying in it.
 func TestLongOutage(t *testing.T) {
 	inTunedWorld(t, func(s *Settings) { s.SnapshotRecords, s.SnapshotEvery = 50, 20*time.Second }, func(t *testing.T, w *world) {
-		w.log.Retention = time.Minute
+		w.log.SetRetention(time.Minute)
 		_, err := w.submit("a-e0", gangOf(4, 200_000), 0)
 		require.NoError(t, err)
 		require.True(t, w.until(5*time.Second, func() bool { return len(w.runningOn("gang")) == 4 }))
--- a/standin/log.go
+++ b/standin/log.go
@@ -57,6 +57,13 @@
 	at   time.Time
 }
 
+// SetRetention changes how long entries are kept, while the log is in use.
+func (l *Log) SetRetention(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Retention = d
+}
+
 // SetFaults replaces the faults.
 func (l *Log) SetFaults(f LogFaults) {
 	l.mu.Lock()
