Worlds run beside each other in entry's tests

Ruled out: smaller soaks. Change: each world has its own bubble and virtual clock, so the tests are parallel.

--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -33,9 +33,11 @@
 	})
 }
 
-// inTunedWorld is inWorld with changed settings.
+// inTunedWorld is inWorld with changed settings. Each world has a bubble and a
+// virtual clock of its own, so worlds run beside each other.
 func inTunedWorld(t *testing.T, tune func(*Settings), fn func(t *testing.T, w *world)) {
 	t.Helper()
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t.Context(), t)
 		w.tune = tune
--- a/entry/overload_test.go
+++ b/entry/overload_test.go
@@ -100,6 +100,7 @@
 // the workers failing everything, and compares with no admission and with
 // unbounded retries.
 func TestOverload(t *testing.T) {
+	t.Parallel()
 	const long = 3 * time.Second
 	type result struct{ ours, open, retries load }
 	results := map[float64]result{}
@@ -126,6 +127,7 @@
 // TestMerging compares appends of one record each with merged ones, against a
 // log that takes 300 appends a second.
 func TestMerging(t *testing.T) {
+	t.Parallel()
 	for _, callers := range []int{1, 8, 64} {
 		var rate [2]float64
 		for i, batch := range []int{1, 128} {
--- a/entry/soak_test.go
+++ b/entry/soak_test.go
@@ -61,6 +61,7 @@
 // TestSoak runs the whole system under random faults and judges it by the
 // workers' own histories. Its drivers assert the invariants of the ledger.
 func TestSoak(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		script := drawScript(rt)
 		seed := rapid.Uint64().Draw(rt, "seed")
--- a/entry/zero_test.go
+++ b/entry/zero_test.go
@@ -12,6 +12,7 @@
 // TestAskedBeforeRun asks a host before anything else has touched it. It is
 // answered once the host runs.
 func TestAskedBeforeRun(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t.Context(), t)
 		r := &running{}
