Urgent work starts within 1.6 s across a lost placer and a silent worker

Cause: a follower polled its placer once a second and waited 2 s of silence; cells of a silent worker were waited for until its heartbeats were 3 s old; a reservation without an answer was waited for for 5 s and then until its lease had lapsed. Ruled out: faster polls by all followers (bytes), a standby with the workers' views (the first reports after a take-over come within milliseconds). Change: the first in line, the deputy, polls four times in its timeout, half of the others'; an address that refuses a connection has no process and is replaced at once; a worker that owes an answer for 0.7 s is doubted, cells on it are chosen anew, and an attempt without a start ends without its word. A caretaker no longer starts reservations, which makes that sound. Found on the way, each with a test: - a reservation left behind made the next place on its slots be refused, requeued and placed again in a loop: 2,529 attempts of one job, two appends each. A refused worker is used again after its next report, with the slots that the log does not know counted as busy; a reservation with a term takes the place of those that were never started. - a worker with a full memory forgot the end of a once-only job before any placer had heard it, and its tombstone would have let the job run again. Ends are kept until Forget; a lost Forget is repeated, and a new placer repeats those of the old one. Tests now assert the users' 1.6 s, where they asserted 25 s or nothing.

--- a/dispatch/drive.go
+++ b/dispatch/drive.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 
 	"github.com/limpetrelay/limpetrelay/fault"
 	"github.com/limpetrelay/limpetrelay/ledger"
@@ -13,6 +15,9 @@
 	// callAgain is the time after which an unanswered call about a member is
 	// repeated, in milliseconds.
 	callAgain = 500
+	// callPatience bounds the wait for a worker's first answer to a call that
+	// others wait for, in milliseconds. It leaves room for the grace of a stop.
+	callPatience = 700
 	// startPatience bounds the time from a place to all members running, in
 	// milliseconds.
 	startPatience = 5000
@@ -75,8 +80,9 @@
 	renewed int64
 	// calledAt is when the last call was sent; 0 for none.
 	calledAt int64
-	// lapsed is set when the lease has lapsed or the worker has restarted, so
-	// that the task cannot run although nobody knows its end.
+	// lapsed is set when the lease has lapsed or the worker has restarted, or
+	// when nobody has sent a start that it could obey, so that the task cannot run
+	// although nobody knows its end.
 	lapsed bool
 }
 
@@ -85,6 +91,29 @@
 	return fmt.Sprintf("%s/%d/%d", id, attempt, index)
 }
 
+// parseTask is the inverse of TaskName, without the member.
+func parseTask(task string) (id string, attempt int, ok bool) {
+	rest, _, ok := cutLast(task)
+	if !ok {
+		return "", 0, false
+	}
+	id, number, ok := cutLast(rest)
+	if !ok {
+		return "", 0, false
+	}
+	attempt, err := strconv.Atoi(number)
+	return id, attempt, err == nil
+}
+
+// cutLast cuts s around its last slash.
+func cutLast(s string) (before, after string, ok bool) {
+	i := strings.LastIndexByte(s, '/')
+	if i < 0 {
+		return s, "", false
+	}
+	return s[:i], s[i+1:], true
+}
+
 // newDrive returns the drive of the placed job j.
 func newDrive(j *ledger.Job, p phase, now int64) *drive {
 	d := &drive{job: j.ID, attempt: j.Attempt, phase: p, since: now, placedAt: now}
@@ -235,7 +264,9 @@
 		s.enter(d, phaseRun)
 		return
 	}
-	if reserved > 0 {
+	if reserved > 0 && !s.caretaker {
+		// A caretaker must not start: the placer may have ended this attempt as
+		// never started in a record that is on its way.
 		s.enter(d, phaseStart)
 	}
 }
@@ -261,11 +292,25 @@
 		s.stepStart(d)
 		return
 	}
+	if m := s.owing(d); m != nil {
+		s.stopDrive(d, "worker "+m.worker+" does not answer")
+		return
+	}
 	if s.now-d.since > startPatience {
 		s.stopDrive(d, "a worker did not answer in time")
 	}
 }
 
+// owing returns a member whose worker does not answer its reservation, or nil.
+func (s *State) owing(d *drive) *driven {
+	for i := range d.members {
+		if m := &d.members[i]; m.report == nil && s.owes(m.worker, d.since) {
+			return m
+		}
+	}
+	return nil
+}
+
 // order returns the order for a member.
 func (s *State) order(j *ledger.Job, d *drive, i int) upstream.Order {
 	m := j.Members[i]
@@ -361,6 +406,12 @@
 			// Nothing was ever sent for this member.
 			m.report = &upstream.TaskReport{Task: m.task, State: upstream.Ended, End: upstream.NeverStarted}
 			ended++
+		case !m.startSent && s.owes(m.worker, d.since):
+			// Only the holder of the term starts reservations, and this one has
+			// not: it lapses unused. If the term has changed, the log refuses
+			// what follows from this.
+			m.lapsed = true
+			ended++
 		default:
 			s.call(d, i, OpStop, upstream.Order{Task: m.task, Term: s.term(), Incarnation: m.incarnation})
 		}
@@ -404,6 +455,7 @@
 		return
 	}
 	m := &d.members[e.Index]
+	s.onAnswer(s.view(m.worker), e)
 	if m.ended() {
 		return
 	}
@@ -421,6 +473,18 @@
 	}
 }
 
+// onAnswer notes when a worker has answered a call, and when it refused a
+// reservation.
+func (s *State) onAnswer(v *workerView, e *MemberDone) {
+	refused := fault.KindOf(e.Err) == fault.Refused
+	if e.Err == nil || refused {
+		v.answered = s.now
+	}
+	if refused && e.Operation == OpReserve {
+		v.refusedAt = s.now
+	}
+}
+
 // ended reports whether an arbiter has said that the member does not run.
 func (m *driven) ended() bool {
 	return m.lapsed || m.report != nil && m.report.State == upstream.Ended
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -59,8 +59,10 @@
 // PeerView is what a peer said of itself.
 type PeerView struct {
 	Name string
-	// OK is set when the peer answered.
+	// OK is set when the peer answered, and Absent when no process listens at
+	// its address.
 	OK      bool
+	Absent  bool
 	Placer  bool
 	Leaving bool
 	Term    uint64
@@ -124,10 +126,12 @@
 	Worker string
 	// Sent is when the heartbeat was sent, on the clock of Event.Now.
 	Sent int64
-	// Renewed lists the tasks that the heartbeat renewed.
-	Renewed []string
-	Report  upstream.Report
-	Err     error
+	// Renewed lists the tasks that the heartbeat renewed, and Forgotten those
+	// that it asked the worker to forget.
+	Renewed   []string
+	Forgotten []string
+	Report    upstream.Report
+	Err       error
 }
 
 // MemberDone is the result of a Member effect.
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/limpetrelay/limpetrelay/ledger"
 	"github.com/limpetrelay/limpetrelay/platform"
 	"github.com/limpetrelay/limpetrelay/rack"
 	"github.com/limpetrelay/limpetrelay/record"
@@ -37,6 +38,14 @@
 	tasks map[string]upstream.TaskReport
 	// heard is the time at which the last answered heartbeat was sent.
 	heard int64
+	// answered is when the last answer to any call arrived.
+	answered int64
+	// doubtedAt is when the worker had left a call without an answer for too
+	// long; 0 for never. The doubt ends with the next answer.
+	doubtedAt int64
+	// refusedAt is when the worker last refused a reservation; 0 once a later
+	// report has shown why, or that the reason is gone.
+	refusedAt int64
 	// first is when the worker was first seen or tried.
 	first int64
 	// sentAt is when the last heartbeat was sent, and inFlight whether it is
@@ -142,6 +151,11 @@
 func (s *State) onHeartbeat(e *HeartbeatDone) {
 	v := s.view(e.Worker)
 	v.inFlight, v.failed = false, e.Err != nil
+	if e.Err == nil {
+		v.answered = s.now
+	} else {
+		v.forget = append(v.forget, e.Forgotten...)
+	}
 	if !s.leading {
 		return
 	}
@@ -173,11 +187,55 @@
 	}
 	r.Tasks = nil
 	v.report = r
+	s.forgetRecorded(v)
 	for _, t := range e.Renewed {
 		s.renewed(e.Worker, t, e.Sent)
 	}
 }
 
+// doubtful reports whether the worker owes an answer. Nothing new is placed on
+// it, although its lease may still hold.
+func (v *workerView) doubtful() bool { return v.doubtedAt != 0 && v.answered <= v.doubtedAt }
+
+// owes reports whether a worker that was called at the given time has been
+// silent since, for longer than the patience with a call, and doubts it then.
+func (s *State) owes(worker string, calledAt int64) bool {
+	v := s.view(worker)
+	if v.doubtful() {
+		return true
+	}
+	if v.answered > calledAt || s.now-calledAt <= callPatience {
+		return false
+	}
+	v.doubtedAt = s.now
+	return true
+}
+
+// forgetRecorded lets a worker forget the ended tasks about which the log has
+// all that followed. A caretaker's copy of the log may be behind, so it lets
+// nothing be forgotten.
+func (s *State) forgetRecorded(v *workerView) {
+	if s.caretaker {
+		return
+	}
+	for _, id := range sortedKeys(v.tasks) {
+		if v.tasks[id].State == upstream.Ended && s.recorded(id) {
+			delete(v.tasks, id)
+			v.forget = append(v.forget, id)
+		}
+	}
+}
+
+// recorded reports whether the log has what followed the end of a task.
+func (s *State) recorded(task string) bool {
+	id, attempt, ok := parseTask(task)
+	if !ok {
+		return false
+	}
+	j := s.Ledger.Jobs[id]
+	return j == nil || j.State == ledger.Finished || j.Attempt > attempt || j.State == ledger.Queued && j.Attempt == attempt
+}
+
 // silent returns how long a worker has not answered, in milliseconds.
 func (v *workerView) silent(now int64) int64 {
 	return now - max(v.heard, v.first)
@@ -278,7 +336,8 @@
 		return 0
 	}
 	v := s.view(name)
-	if v.heard < 0 || v.silent(s.now) > 3*s.HeartbeatEvery || v.report.Leaving || v.report.Incarnation != w.Incarnation {
+	if v.heard < 0 || v.silent(s.now) > 3*s.HeartbeatEvery || v.doubtful() ||
+		v.refusedAt > v.heard || v.report.Leaving || v.report.Incarnation != w.Incarnation {
 		return 0
 	}
 	if h, ok := s.hosts[name]; ok && h.Leaving {
@@ -287,6 +346,20 @@
 	return rack.FullMask(w.Slots)
 }
 
+// foreignMask returns the slots that a worker which refused a reservation holds
+// for something that the log does not know, such as a small request of another
+// host. Without it the same place would be chosen and refused again at once.
+func (v *workerView) foreignMask(taken rack.Mask) rack.Mask {
+	if v.refusedAt == 0 || v.refusedAt > v.heard {
+		return 0
+	}
+	m := rack.FullMask(v.report.Slots) &^ v.report.Free &^ taken
+	if m == 0 {
+		v.refusedAt = 0
+	}
+	return m
+}
+
 // smallMask returns the slots of a worker that small requests hold.
 func (v *workerView) smallMask() rack.Mask {
 	var m rack.Mask
--- a/dispatch/placer.go
+++ b/dispatch/placer.go
@@ -7,9 +7,18 @@
 	"github.com/limpetrelay/limpetrelay/upstream"
 )
 
-// rankStep is the extra time, in milliseconds, that each further host waits
-// before it claims the placer role, so that claims seldom race.
-const rankStep = 300
+const (
+	// rankStep is the extra time, in milliseconds, that each further host waits
+	// before it claims the placer role, so that claims seldom race.
+	rankStep = 300
+	// followWait is how long the placer may hold its answer to a follower, in
+	// milliseconds.
+	followWait = 1000
+	// deputyPart and deputyPolls set the deputy's timeout, as a part of the
+	// others', and the number of its polls in that time.
+	deputyPart  = 2
+	deputyPolls = 4
+)
 
 // lookStep is the time between two looks at all heartbeats and all drives, in
 // milliseconds. What concerns one of them is looked at with its own event.
@@ -30,6 +39,9 @@
 	placerHeard int64
 	// placerLeaving is set when the placer said that it is draining.
 	placerLeaving bool
+	// absentSince is when the placer's address first refused a connection; 0
+	// when it has not since the placer was last heard.
+	absentSince int64
 	// watchSince is when this host began to judge the placer's silence.
 	watchSince int64
 	// drives is keyed by job. It is changed by setDrive and deleteDrive only.
@@ -68,9 +80,16 @@
 
 // onPeer takes what a peer said of itself.
 func (s *State) onPeer(p *PeerView) {
-	if !p.OK || p.Name != s.PlacerName() {
+	if p.Name != s.PlacerName() {
+		return
+	}
+	if !p.OK {
+		if p.Absent && s.absentSince == 0 {
+			s.absentSince = s.now
+		}
 		return
 	}
+	s.absentSince = 0
 	if p.Leaving {
 		s.placerLeaving = true
 		return
@@ -123,12 +142,38 @@
 		return true
 	}
 	wait := s.rank(t.Host) * rankStep
+	if s.absentSince != 0 && s.now-s.absentSince >= wait {
+		return true
+	}
 	if t.Term != 0 {
-		wait += s.PlacerTimeout
+		wait += s.placerTimeout()
 	}
 	return s.now-max(s.placerHeard, s.watchSince) > wait
 }
 
+// deputy reports whether this host is the first in line for the placer role. It
+// polls the placer more often than the others and replaces it sooner.
+func (s *State) deputy() bool { return s.listed && s.rank(s.PlacerName()) == 0 }
+
+// placerTimeout returns the silence after which this host replaces the placer,
+// before its rank is counted.
+func (s *State) placerTimeout() int64 {
+	if s.deputy() {
+		return s.PlacerTimeout / deputyPart
+	}
+	return s.PlacerTimeout
+}
+
+// TailWait returns how long the placer may hold its answer to this host's poll,
+// and after how long this host gives the poll up, in milliseconds.
+func (s *State) TailWait() (hold, giveUp int64) {
+	if s.deputy() {
+		giveUp = s.placerTimeout()
+		return giveUp / deputyPolls, giveUp
+	}
+	return followWait, followWait + s.PlacerTimeout/deputyPart
+}
+
 // rank returns this host's place among the entry hosts of its data centre,
 // the silent placer left out.
 func (s *State) rank(silent string) int64 {
@@ -163,7 +208,7 @@
 		}
 		return
 	}
-	s.placerHeard, s.placerLeaving, s.watchSince = s.now, false, s.now
+	s.placerHeard, s.placerLeaving, s.watchSince, s.absentSince = s.now, false, s.now, 0
 	if !mine {
 		s.stopLeading()
 	}
@@ -176,6 +221,7 @@
 		if s.caretaker && !caretaker {
 			s.caretaker, s.dirty = false, true
 			for _, n := range s.workerNames() {
+				s.forgetRecorded(s.view(n))
 				s.recordWorker(n, s.view(n))
 			}
 		}
--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -32,6 +32,12 @@
 	}
 	for _, c := range h.cells {
 		if r.plan.Taken(c.Node)&c.Mask != 0 {
+			if !h.aged && s.owes(c.Node, h.since) {
+				// Its cells cannot be proved free before its leases lapse.
+				delete(s.holds, j.ID)
+				s.dirty = true
+				return false
+			}
 			patience := int64(holdPatience)
 			if h.aged {
 				patience = agedPatience
--- a/dispatch/schedule.go
+++ b/dispatch/schedule.go
@@ -170,7 +170,9 @@
 		return
 	}
 	w := s.Ledger.Workers[name]
-	busy := r.plan.Taken(name) | held | s.view(name).smallMask()
+	v := s.view(name)
+	foreign := v.foreignMask(r.plan.Taken(name) | held)
+	busy := r.plan.Taken(name) | held | v.smallMask() | foreign
 	if s.onTrial(name) && r.plan.Taken(name) != 0 {
 		busy = rack.FullMask(w.Slots)
 	}
@@ -180,7 +182,7 @@
 		return
 	}
 	r.free.Add(n)
-	n.Used = (r.plan.Fixed(name) | held) & rack.FullMask(w.Slots)
+	n.Used = (r.plan.Fixed(name) | held | foreign&^v.smallMask()) & rack.FullMask(w.Slots)
 	if s.onTrial(name) {
 		n.Used = rack.FullMask(w.Slots)
 	}
--- a/entry/effects.go
+++ b/entry/effects.go
@@ -59,7 +59,7 @@
 func (h *Host) heartbeat(ctx context.Context, c *dispatch.HeartbeatCall, sent int64) {
 	r, err := h.Worker(c.Address).Heartbeat(ctx, c.Heartbeat)
 	h.post(ctx, dispatch.Event{Heartbeat: &dispatch.HeartbeatDone{
-		Worker: c.Worker, Sent: sent, Renewed: c.Heartbeat.Renew, Report: r, Err: err,
+		Worker: c.Worker, Sent: sent, Renewed: c.Heartbeat.Renew, Forgotten: c.Heartbeat.Forget, Report: r, Err: err,
 	}})
 }
 
--- a/entry/gang_test.go
+++ b/entry/gang_test.go
@@ -11,6 +11,7 @@
 	"github.com/limpetrelay/limpetrelay/job"
 	"github.com/limpetrelay/limpetrelay/rack"
 	"github.com/limpetrelay/limpetrelay/standin"
+	"github.com/limpetrelay/limpetrelay/upstream"
 )
 
 // gangOf returns a gang of n whole workers that runs for ms.
@@ -140,3 +141,31 @@
 
 // silent makes every call to a worker hang.
 var silent = standin.WorkerFaults{Silent: true}
+
+// TestRefusedPlaceIsNotRepeated fills one slot of every worker behind the
+// placer's back. A job that needs whole workers is refused by each of them, once
+// and not in a loop that fills the log, and runs when there is room.
+func TestRefusedPlaceIsNotRepeated(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		for n, wk := range w.workers {
+			go func() {
+				_, _ = wk.Upstream().Run(w.ctx, upstream.Run{Wait: 5000, Order: upstream.Order{
+					Task: "behind/" + n, Lease: 10_000, Payload: standin.Work{Run: 3000}.Payload(),
+				}})
+			}()
+		}
+		time.Sleep(10 * time.Millisecond)
+		appends := w.log.Appends()
+		s := spec("lender", "batch", "whole", 100)
+		s.Key = "whole"
+		s.Accelerators = 8
+		r, err := w.submit("a-e0", s, 30*time.Second)
+		require.NoError(t, err)
+		require.NotNil(t, r.Outcome)
+		require.Equal(t, job.Completed, r.Outcome.Result)
+		n := w.log.Appends() - appends
+		t.Logf("%d appends", n)
+		// Accept, place and end, and a place and a requeue per refusal.
+		require.LessOrEqual(t, n, 3+2*len(w.workers))
+	})
+}
--- a/entry/guarantee_test.go
+++ b/entry/guarantee_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -60,37 +61,58 @@
 	})
 }
 
+// TestReclaimWhilePlacerDies claims with every cell borrowed, at the moment at
+// which the placer's process dies or its host is lost.
 func TestReclaimWhilePlacerDies(t *testing.T) {
-	inWorld(t, func(t *testing.T, w *world) {
-		borrowAll(t, w)
-		began := time.Now()
-		_, err := w.submit(w.notPlacer(), claim(), 0)
-		require.NoError(t, err)
-		w.killHost(w.placerOf())
-		r, err := w.submit(w.hostNames()[0], claim(), 30*time.Second)
-		require.NoError(t, err)
-		require.NotNil(t, r.Outcome)
-		require.Equal(t, job.Completed, r.Outcome.Result)
-		t.Logf("start after %s", w.startOf("mine").Sub(began))
-	})
+	for _, c := range []struct {
+		name string
+		lose func(*world, string)
+	}{
+		{"process dies", (*world).killHost},
+		{"host is lost", func(w *world, n string) { w.freeze(n, time.Hour) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inWorld(t, func(t *testing.T, w *world) {
+				borrowAll(t, w)
+				old := w.placerOf()
+				caller := w.notPlacer()
+				began := time.Now()
+				_, err := w.submit(caller, claim(), 0)
+				require.NoError(t, err)
+				c.lose(w, old)
+				r, err := w.submit(caller, claim(), 30*time.Second)
+				require.NoError(t, err)
+				require.NotNil(t, r.Outcome)
+				require.Equal(t, job.Completed, r.Outcome.Result)
+				start := w.startOf("mine").Sub(began)
+				t.Logf("start after %s", start)
+				require.Less(t, start, urgentBound)
+			})
+		})
+	}
 }
 
-// TestReclaimWithSilentWorker claims while a borrower's worker does not answer.
-// Its cells cannot be proved free before the lease has lapsed, so the claim
-// takes others.
+// TestReclaimWithSilentWorker claims while a worker does not answer. Its cells
+// cannot be proved free before the lease has lapsed, so the claim takes others.
 func TestReclaimWithSilentWorker(t *testing.T) {
-	inWorld(t, func(t *testing.T, w *world) {
-		borrowAll(t, w)
-		w.workers["a-w0"].SetFaults(silent)
-		began := time.Now()
-		r, err := w.submit("a-e1", claim(), 60*time.Second)
-		require.NoError(t, err)
-		require.NotNil(t, r.Outcome)
-		require.Equal(t, job.Completed, r.Outcome.Result)
-		start := w.startOf("mine").Sub(began)
-		t.Logf("start after %s", start)
-		require.Less(t, start, 25*time.Second)
-	})
+	for _, borrowed := range []bool{true, false} {
+		t.Run(fmt.Sprintf("borrowed=%t", borrowed), func(t *testing.T) {
+			inWorld(t, func(t *testing.T, w *world) {
+				if borrowed {
+					borrowAll(t, w)
+				}
+				w.workers["a-w0"].SetFaults(silent)
+				began := time.Now()
+				r, err := w.submit("a-e1", claim(), 60*time.Second)
+				require.NoError(t, err)
+				require.NotNil(t, r.Outcome)
+				require.Equal(t, job.Completed, r.Outcome.Result)
+				start := w.startOf("mine").Sub(began)
+				t.Logf("start after %s", start)
+				require.Less(t, start, urgentBound)
+			})
+		})
+	}
 }
 
 // TestGuaranteeIsRefused submits a guarantee that the racks cannot hold whole.
--- a/entry/host.go
+++ b/entry/host.go
@@ -30,7 +30,7 @@
 	eventBuffer = 1024
 )
 
-// Seams are a Host's ways to the outside. All are required.
+// Seams are a Host's ways to the outside. All but Clock are required.
 type Seams struct {
 	Log       platform.Log
 	Directory platform.Directory
@@ -38,6 +38,8 @@
 	Worker func(address string) upstream.Worker
 	// Peer returns the calls of the entry host at an address.
 	Peer func(address string) peer.Peer
+	// Clock returns the wall clock, which may be wrong. Default time.Now.
+	Clock func() time.Time
 }
 
 // Settings configures a Host. Zero fields have defaults.
@@ -110,6 +112,9 @@
 	LogAge          int64
 	Checked, Broken int
 	Queued, Placed  int
+	// TailHold is how long the placer may hold its answer to this host's poll;
+	// TailGiveUp is when this host gives the poll up.
+	TailHold, TailGiveUp time.Duration
 }
 
 // Run serves until ctx ends or a drain has finished.
@@ -179,6 +184,9 @@
 		if h.Logger == nil {
 			h.Logger = slog.Default()
 		}
+		if h.Clock == nil {
+			h.Clock = time.Now
+		}
 		if h.SnapshotRecords == 0 {
 			h.SnapshotRecords = 500
 		}
@@ -209,7 +217,7 @@
 		case <-tick.C:
 		case e = <-h.events:
 		}
-		e.Now, e.Wall = time.Since(start).Milliseconds(), time.Now().UnixMilli()
+		e.Now, e.Wall = time.Since(start).Milliseconds(), h.Clock().UnixMilli()
 		if e.Tail != nil {
 			h.tail.add(e.Tail.Page.Entries)
 		}
@@ -289,6 +297,8 @@
 	}
 	v.Checked, v.Broken = s.Checked()
 	v.Queued, v.Placed = s.OpenJobs()
+	hold, giveUp := s.TailWait()
+	v.TailHold, v.TailGiveUp = time.Duration(hold)*time.Millisecond, time.Duration(giveUp)*time.Millisecond
 	h.view.Store(v)
 }
 
--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/limpetrelay/limpetrelay/fault"
 	"github.com/limpetrelay/limpetrelay/job"
 	"github.com/limpetrelay/limpetrelay/standin"
+	"github.com/limpetrelay/limpetrelay/upstream"
 )
 
 // bill returns a once-only reconciliation.
@@ -124,6 +126,60 @@
 	})
 }
 
+// TestOnceWhileWorkerForgets completes a once-only job while no host lives, and
+// fills its worker's memory before one does. The end must still be there.
+func TestOnceWhileWorkerForgets(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		_, err := w.submit("a-e0", bill(2000), 0)
+		require.NoError(t, err)
+		require.True(t, w.until(5*time.Second, func() bool { return len(w.runningOn("bill")) == 1 }))
+		wk := w.workers[w.runningOn("bill")[0]]
+		wk.Memory = 4
+		w.stop()
+		time.Sleep(3 * time.Second)
+		for i := range 20 {
+			_, err := wk.Upstream().Run(w.ctx, upstream.Run{Wait: 1000, Order: upstream.Order{
+				Task: fmt.Sprint("flood", i), Lease: 1000, Payload: standin.Work{Run: 1}.Payload(),
+			}})
+			require.NoError(t, err)
+		}
+		w.startHost("a-e3", "a")
+		require.True(t, w.settled(8))
+		r, err := w.submit("a-e3", bill(2000), time.Minute)
+		require.NoError(t, err)
+		require.NotNil(t, r.Outcome)
+		require.Equal(t, job.Completed, r.Outcome.Result)
+		require.Equal(t, 1, w.runsOf("bill"))
+	})
+}
+
+// TestWorkersForgetWhatIsRecorded runs jobs while heartbeats get lost and the
+// placer is replaced. What the log has, the workers need not remember.
+func TestWorkersForgetWhatIsRecorded(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		for _, wk := range w.workers {
+			wk.Memory = 1
+		}
+		for i := range 60 {
+			s := spec("acme", "plan", "p", 20)
+			s.Key = fmt.Sprint("p", i)
+			_, err := w.submit(w.hostNames()[0], s, 10*time.Second)
+			require.NoError(t, err)
+			switch i {
+			case 20, 40:
+				w.killHost(w.placerOf())
+			case 30, 31, 32:
+				w.cut("a-w0", w.placerOf(), true)
+				w.later(w.ctx, time.Second, func() { w.cut("a-w0", w.placerOf(), false) })
+			}
+		}
+		time.Sleep(20 * time.Second)
+		for n, wk := range w.workers {
+			require.LessOrEqual(t, wk.Remembered(), wk.Memory, "%s remembers ends that the log has", n)
+		}
+	})
+}
+
 // TestOnceAfterRetention asks for a finished once-only request after the log
 // has dropped its records and every host was replaced.
 func TestOnceAfterRetention(t *testing.T) {
--- a/entry/tail.go
+++ b/entry/tail.go
@@ -56,10 +56,13 @@
 // tailPeer reads once from the placer. It reports whether that replaced a read
 // from the log.
 func (h *Host) tailPeer(ctx context.Context, v *View) bool {
-	r, err := h.Peer(v.PlacerAddress).Tail(ctx, peer.TailRequest{
-		Host: h.Host(), From: v.Next, Wait: tailWait.Milliseconds(),
-	})
-	pv := &dispatch.PeerView{Name: v.PlacerName}
+	began := time.Now()
+	r, err := h.askPlacer(ctx, v, v.TailHold)
+	if fault.KindOf(err) == fault.Unknown && time.Since(began) < v.TailGiveUp {
+		// The connection broke. A new one tells whether the process has died.
+		r, err = h.askPlacer(ctx, v, 0)
+	}
+	pv := &dispatch.PeerView{Name: v.PlacerName, Absent: fault.Absent(err)}
 	if err == nil {
 		pv.OK, pv.Placer, pv.Leaving, pv.Term, pv.LogAge = true, r.Placer, r.Leaving, r.Term, r.LogAge
 	}
@@ -70,6 +73,13 @@
 	return err == nil && !r.Missing && r.LogAge < staleLog
 }
 
+// askPlacer polls the placer, which may hold its answer.
+func (h *Host) askPlacer(ctx context.Context, v *View, hold time.Duration) (peer.TailResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, hold+v.TailGiveUp-v.TailHold)
+	defer cancel()
+	return h.Peer(v.PlacerAddress).Tail(ctx, peer.TailRequest{Host: h.Host(), From: v.Next, Wait: hold.Milliseconds()})
+}
+
 // Tail serves the call of package peer.
 func (h *Host) Tail(ctx context.Context, r peer.TailRequest) (peer.TailResponse, error) {
 	page, missing := h.tail.wait(ctx, r.From, time.Duration(min(r.Wait, 5000))*time.Millisecond)
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -36,6 +36,8 @@
 	// silent holds pairs whose open calls hang.
 	starts int
 	dcOf   map[string]string
+	// skew is the error of each host's wall clock.
+	skew   map[string]time.Duration
 	tune   func(*Settings)
 	broken []string
 }
@@ -43,6 +45,8 @@
 // running is a host with its life.
 type running struct {
 	*Host
+	// life ends with the process.
+	life   context.Context
 	cancel context.CancelFunc
 	ended  chan struct{}
 	// frozen is closed when the host thaws; nil while it runs.
@@ -83,7 +87,7 @@
 	if w.tune != nil {
 		w.tune(&h.Settings)
 	}
-	r := &running{Host: h, cancel: cancel, ended: make(chan struct{})}
+	r := &running{Host: h, life: ctx, cancel: cancel, ended: make(chan struct{})}
 	h.Seams = w.seams(name, r)
 	w.hosts[name] = r
 	w.dcOf[name] = dc
@@ -261,6 +265,7 @@
 func (w *world) seams(name string, r *running) Seams {
 	const store = "store"
 	w.dcOf[store] = w.home
+	skew := w.skew[name]
 	return Seams{
 		Log: platform.Log{
 			Append: func(ctx context.Context, stream string, data []byte) (uint64, error) {
@@ -277,6 +282,7 @@
 		Directory: platform.Directory{List: func(ctx context.Context) ([]platform.Host, error) {
 			return over(ctx, w, r, name, store, 2*time.Second, w.dir.List)
 		}},
+		Clock:  func() time.Time { return time.Now().Add(skew) },
 		Worker: func(address string) upstream.Worker { return w.worker(r, name, address) },
 		Peer:   func(address string) peer.Peer { return w.peer(r, name, address) },
 	}
@@ -326,7 +332,14 @@
 					return peer.TailResponse{}, unreachable()
 				}
 				w.gate(ctx, p)
-				return p.Tail(ctx, a)
+				ctx, cancel := context.WithCancel(ctx)
+				defer cancel()
+				defer context.AfterFunc(p.life, cancel)()
+				res, err := p.Tail(ctx, a)
+				if p.life.Err() != nil {
+					return res, fault.New(fault.Unknown, "the connection broke", "ask again")
+				}
+				return res, err
 			})
 		},
 		Fetch: func(ctx context.Context) (peer.SnapshotResponse, error) {
@@ -341,9 +354,10 @@
 	}
 }
 
-// unreachable returns the error of a dead process.
+// unreachable returns the error of a dead process, whose address refuses
+// connections.
 func unreachable() error {
-	return fault.New(fault.Unavailable, "nobody listens", "try another host")
+	return fault.NewAbsent("nobody listens", "try another host")
 }
 
 // submit sends a job to a host as a caller would, without retries.
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -47,6 +47,9 @@
 	Message string `json:"message"`
 	// Remedy says what the reader can do about it. It is never empty.
 	Remedy string `json:"remedy"`
+	// Absent is set when the operating system of the other side refused the
+	// connection, so that no process listens there. It is not sent to others.
+	Absent bool `json:"-"`
 }
 
 // Error returns the message followed by the remedy.
@@ -65,6 +68,20 @@
 	return errors.WithStackDepth(e, 1)
 }
 
+// NewAbsent returns an Unavailable error that proves that no process listens at
+// the other side's address.
+func NewAbsent(message, remedy string) error {
+	e := &Error{Kind: Unavailable, Message: message, Remedy: remedy, Absent: true}
+	return errors.WithStackDepth(e, 1)
+}
+
+// Absent reports whether err proves that no process listens at the other side's
+// address.
+func Absent(err error) bool {
+	e := As(err)
+	return e != nil && e.Absent
+}
+
 // As returns err as an *Error. Errors of foreign types become Unknown, because
 // nothing can be said about what they left behind. It returns nil for nil.
 func As(err error) *Error {
--- a/record/record.go
+++ b/record/record.go
@@ -65,8 +65,9 @@
 	Abstract []rack.Cell `cbor:"v,omitempty"`
 }
 
-// Requeue ends an attempt and returns the job to the queue. The writer has an
-// arbiter's word that no member runs any more.
+// Requeue ends an attempt and returns the job to the queue. For every member the
+// writer has an arbiter's word that it does not run any more, or has not sent a
+// start within its term.
 type Requeue struct {
 	Job     string `cbor:"j"`
 	Attempt int    `cbor:"a"`
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -43,7 +43,8 @@
 	GangLease Duration `toml:"gangLease"`
 	// SmallLease is the lease of small requests. Default 6s.
 	SmallLease Duration `toml:"smallLease"`
-	// PlacerTimeout is the silence after which a placer is replaced. Default 2s.
+	// PlacerTimeout is the silence after which a placer is replaced; the first in
+	// line replaces it after half of that. Default 2s.
 	PlacerTimeout Duration `toml:"placerTimeout"`
 	// GoneAfter is the silence after which a worker counts as gone. Default 10s.
 	GoneAfter Duration `toml:"goneAfter"`
--- a/standin/task.go
+++ b/standin/task.go
@@ -63,12 +63,14 @@
 	upstream.TaskReport
 	order    upstream.Order
 	revision uint64
-	interval int
-	started  time.Time
-	done     chan struct{}
-	lease    *time.Timer
-	work     *time.Timer
-	output   []byte
+	// forgotten is set once a placer has said that the end is safe in the log.
+	forgotten bool
+	interval  int
+	started   time.Time
+	done      chan struct{}
+	lease     *time.Timer
+	work      *time.Timer
+	output    []byte
 }
 
 // begin runs t.
@@ -117,12 +119,12 @@
 }
 
 // tombstone returns the task called id, made as never started when unknown.
-func (w *Worker) tombstone(id string) *task {
+func (w *Worker) tombstone(id string, small bool) *task {
 	if t := w.tasks[id]; t != nil {
 		return t
 	}
 	t := &task{done: make(chan struct{})}
-	t.TaskReport = upstream.TaskReport{Task: id, State: upstream.Ended, End: upstream.NeverStarted}
+	t.TaskReport = upstream.TaskReport{Task: id, State: upstream.Ended, End: upstream.NeverStarted, Small: small}
 	close(t.done)
 	w.keep(t)
 	return t
@@ -191,22 +193,33 @@
 	}
 	w.tasks[t.Task] = t
 	w.touch(t)
-	if len(w.tasks) > maxTasks {
-		w.forgetOldest()
+	w.trim()
+}
+
+// trim drops tasks that are too many, oldest first.
+func (w *Worker) trim() {
+	memory := w.Memory
+	if memory == 0 {
+		memory = defaultMemory
+	}
+	for len(w.tasks) > memory && w.forgetOldest() {
 	}
 }
 
-// forgetOldest drops the ended task that changed first.
-func (w *Worker) forgetOldest() {
+// forgetOldest drops the task that changed first among the ended ones that no
+// placer may still ask for. It reports whether there was one.
+func (w *Worker) forgetOldest() bool {
 	var oldest *task
 	for _, t := range w.tasks {
-		if t.State == upstream.Ended && (oldest == nil || t.revision < oldest.revision) {
+		if t.State == upstream.Ended && (t.Small || t.forgotten) && (oldest == nil || t.revision < oldest.revision) {
 			oldest = t
 		}
 	}
-	if oldest != nil {
-		delete(w.tasks, oldest.Task)
+	if oldest == nil {
+		return false
 	}
+	delete(w.tasks, oldest.Task)
+	return true
 }
 
 // makeOutput returns the answer of a task.
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -22,8 +22,8 @@
 }
 
 const (
-	// maxTasks bounds the remembered tasks of a worker.
-	maxTasks = 1 << 16
+	// defaultMemory is the number of tasks that a worker remembers.
+	defaultMemory = 1 << 16
 	// smallLease is the least lease, in milliseconds.
 	smallLease = 100
 )
@@ -39,6 +39,9 @@
 	Plain bool
 	// Incarnation is unique per start.
 	Incarnation string
+	// Memory bounds the remembered tasks. Running tasks and the ends that no
+	// placer has told it to forget are kept beyond it. Default 65,536.
+	Memory int
 
 	mu       sync.Mutex
 	faults   WorkerFaults
@@ -98,6 +101,13 @@
 	return slices.Clone(w.history)
 }
 
+// Remembered returns the number of tasks that w remembers.
+func (w *Worker) Remembered() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.tasks)
+}
+
 // Upstream returns the calls of w.
 func (w *Worker) Upstream() upstream.Worker {
 	return upstream.Worker{
@@ -169,11 +179,12 @@
 	}
 	for _, id := range h.Forget {
 		if t := w.tasks[id]; t != nil && t.State == upstream.Ended {
-			t.revision = 0
+			t.forgotten = true
 		}
 	}
+	w.trim()
 	for _, t := range w.tasks {
-		if !t.Small && t.State == upstream.Ended && t.revision > h.Seen {
+		if !t.Small && t.State == upstream.Ended && !t.forgotten && t.revision > h.Seen {
 			news := make(chan struct{})
 			close(news)
 			return news, nil
@@ -195,7 +206,7 @@
 		Free: rack.FullMask(w.slots()) &^ w.used, Revision: w.revision,
 	}
 	for _, id := range sortedTasks(w.tasks) {
-		if t := w.tasks[id]; t.revision > h.Seen {
+		if t := w.tasks[id]; !t.forgotten && t.revision > h.Seen {
 			r.Tasks = append(r.Tasks, t.TaskReport)
 		}
 	}
@@ -247,20 +258,23 @@
 		o.Mask = b
 		return nil
 	}
-	if o.Evict {
-		w.evict(o.Mask)
-		free = rack.FullMask(w.slots()) &^ w.used
-	}
+	w.evict(o)
+	free = rack.FullMask(w.slots()) &^ w.used
 	if free&o.Mask != o.Mask {
 		return refused("slots of worker %s are taken", w.Name)
 	}
 	return nil
 }
 
-// evict stops the small tasks in m.
-func (w *Worker) evict(m rack.Mask) {
+// evict stops what must make room for o: the reservations that were never
+// started and, where o says so, the small tasks.
+func (w *Worker) evict(o *upstream.Order) {
 	for _, id := range sortedTasks(w.tasks) {
-		if t := w.tasks[id]; t.Small && t.State != upstream.Ended && t.Mask&m != 0 {
+		t := w.tasks[id]
+		if t.State == upstream.Ended || t.Mask&o.Mask == 0 {
+			continue
+		}
+		if o.Evict && t.Small || o.Term != 0 && !t.Small && t.State == upstream.Reserved {
 			w.end(t, upstream.Evicted, "", false)
 		}
 	}
@@ -293,7 +307,7 @@
 	if err := w.same(s.Incarnation); err != nil {
 		return upstream.TaskReport{}, err
 	}
-	t := w.tombstone(s.Task)
+	t := w.tombstone(s.Task, s.Term == 0)
 	if t.State != upstream.Ended {
 		w.end(t, upstream.Stopped, "", s.Grace > 0)
 	}
@@ -351,7 +365,7 @@
 		return nil, fault.Newf(fault.NotFound, "check the task's name", "worker %s has no task %s", w.Name, a.Task)
 	}
 	if t == nil {
-		t = w.tombstone(a.Task)
+		t = w.tombstone(a.Task, true)
 	}
 	if t.State == upstream.Running {
 		w.renew(t)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -91,7 +91,9 @@
 	Term uint64 `cbor:"e"`
 	// Renew lists the tasks to renew.
 	Renew []string `cbor:"r,omitempty"`
-	// Forget lists ended tasks whose end is safe in the log.
+	// Forget lists ended tasks whose end is safe in the log. A worker remembers
+	// the end of an order with a term until it is listed here: a tombstone for a
+	// task that ran would let it run again.
 	Forget []string `cbor:"f,omitempty"`
 	// Seen is the revision of the last report; tasks that have not changed
 	// since are left out. 0 asks for all tasks.
@@ -185,6 +187,8 @@
 type Worker struct {
 	Heartbeat func(context.Context, Heartbeat) (Report, error)
 	// Reserve holds a cell for a task without running it. Repeats are idempotent.
+	// An order with a term takes the place of reservations that were not started:
+	// the log has given their cells to it.
 	Reserve func(context.Context, Order) (TaskReport, error)
 	// Start runs a reserved task. Repeats are idempotent.
 	Start func(context.Context, Start) (TaskReport, error)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
@@ -144,6 +146,9 @@
 	if errors.As(err, &ce) && ce.Meta().Get(headerKind) != "" {
 		return fault.New(fault.Kind(ce.Meta().Get(headerKind)), ce.Message(), ce.Meta().Get(headerRemedy))
 	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return fault.NewAbsent(fmt.Sprintf("cannot connect: %v", err), "check that the process listens there")
+	}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return fault.Newf(fault.Unavailable, "check that the process listens there", "cannot connect: %v", err)
