A worker that fails everything is tried again ever more rarely

Two faults: failures were counted by a list of at most 16 distinct jobs, so after 13 ejections no further one came; and the verdict was looked at with heartbeats, up to a second after failures that follow each other within milliseconds. Ruled out: the cool-off itself (16 s, as set). Change: the log counts failures since the last success; a worker is judged when a record with a failure arrives; it gets nothing while its ejection is on its way into the log.

--- a/dispatch/conclude.go
+++ b/dispatch/conclude.go
@@ -18,11 +18,20 @@
 	}
 	s.dropDrive(r.Requeue.Job)
 	s.dirty = true
+	s.judge(r.Requeue.FailedOn)
 	if s.leading && v.Job.DataCentre == s.DataCentre {
 		s.observe(v.Job.Spec.Organisation, v.Job.Spec.Class, "requeues", 1)
 	}
 }
 
+// judge looks at once whether a worker on which a job has failed is to be ejected:
+// failures follow each other faster than heartbeats.
+func (s *State) judge(worker string) {
+	if worker != "" && s.leading {
+		s.recordWorker(worker, s.view(worker))
+	}
+}
+
 // onRefusedEnd decides anew about an attempt whose end the log has refused,
 // for example because the job was cancelled meanwhile.
 func (s *State) onRefusedEnd(id string) {
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -57,8 +57,10 @@
 	// recorded is set while a record about the worker is on its way.
 	recorded bool
 	// ejections counts them, and ejectedUntil is the end of the last one.
+	// ejectedFor is the number of failures at that time.
 	ejections    int
 	ejectedUntil int64
+	ejectedFor   int
 	// forget lists ended tasks whose end is in the log.
 	forget []string
 	// small is the view of the small path.
@@ -302,13 +304,14 @@
 	if !same {
 		return false
 	}
-	failed := len(s.Ledger.Workers[name].FailedJobs)
-	if failed == 0 {
-		v.ejections = 0
+	w := s.Ledger.Workers[name]
+	if w.Failures == 0 {
+		v.ejections, v.ejectedFor = 0, 0
 	}
-	if failed < ejectAfter+v.ejections {
+	if len(w.FailedJobs) < ejectAfter || w.Failures <= v.ejectedFor {
 		return false
 	}
+	v.ejectedFor = w.Failures
 	v.ejectedUntil = s.now + s.Cooloff<<min(v.ejections, maxCooloff)
 	v.ejections++
 	return true
@@ -337,7 +340,7 @@
 	}
 	v := s.view(name)
 	if v.heard < 0 || v.silent(s.now) > 3*s.HeartbeatEvery || v.doubtful() ||
-		v.refusedAt > v.heard || v.report.Leaving || v.report.Incarnation != w.Incarnation {
+		s.now < v.ejectedUntil || v.refusedAt > v.heard || v.report.Leaving || v.report.Incarnation != w.Incarnation {
 		return 0
 	}
 	if h, ok := s.hosts[name]; ok && h.Leaving {
--- a/dispatch/tail.go
+++ b/dispatch/tail.go
@@ -120,6 +120,8 @@
 		s.onRequeued(r, v)
 	case r.End != nil && v.Err != nil:
 		s.onRefusedEnd(r.End.Job)
+	case r.End != nil:
+		s.judge(r.End.FailedOn)
 	case r.Cancel != nil && v.Job != nil && !v.Ended:
 		s.onCancelled(v.Job)
 	case r.Worker != nil:
--- a/ledger/configure.go
+++ b/ledger/configure.go
@@ -204,7 +204,7 @@
 	}
 	nw := &Worker{Worker: *w}
 	if old != nil && old.Incarnation == w.Incarnation {
-		nw.FailedJobs = old.FailedJobs
+		nw.FailedJobs, nw.Failures = old.FailedJobs, old.Failures
 	}
 	if w.State == record.Removed {
 		delete(l.Workers, w.Name)
--- a/ledger/jobs.go
+++ b/ledger/jobs.go
@@ -214,6 +214,9 @@
 	j.Started = j.Started || !q.NeverStarted
 	j.Checkpointed = q.Checkpointed || j.Checkpointed && q.NeverStarted
 	l.blame(j, q.FailedOn)
+	if !q.NeverStarted && q.FailedOn == "" {
+		l.learned(j).AddStop(q.Checkpointed)
+	}
 	if j.Cancelled != "" {
 		l.finish(offset, j, CancelledOutcome(j))
 	}
@@ -303,11 +306,7 @@
 // learn takes the run time and the blame from the end of j.
 func (l *Ledger) learn(j *Job, e *record.End) {
 	if e.Outcome.Result == job.Completed && e.RunTime > 0 {
-		k := LearnedKey(j.Spec.Organisation, j.Spec.Class)
-		if l.Learned[k] == nil {
-			l.Learned[k] = &RunTimes{}
-		}
-		l.Learned[k].Add(e.RunTime)
+		l.learned(j).Add(e.RunTime)
 	}
 	l.blame(j, e.FailedOn)
 	if e.Outcome.Result == job.Failed && len(j.FailedOn) > 1 {
@@ -318,11 +317,20 @@
 	}
 	for _, a := range e.Outcome.Answers {
 		if w := l.Workers[a.Worker]; w != nil {
-			w.FailedJobs = nil
+			w.FailedJobs, w.Failures = nil, 0
 		}
 	}
 }
 
+// learned returns what is known of the jobs of j's organisation and class.
+func (l *Ledger) learned(j *Job) *RunTimes {
+	k := LearnedKey(j.Spec.Organisation, j.Spec.Class)
+	if l.Learned[k] == nil {
+		l.Learned[k] = &RunTimes{}
+	}
+	return l.Learned[k]
+}
+
 // maxFailedJobs bounds Worker.FailedJobs.
 const maxFailedJobs = 16
 
@@ -335,7 +343,11 @@
 		j.FailedOn = append(j.FailedOn, name)
 	}
 	w := l.Workers[name]
-	if w == nil || slices.Contains(w.FailedJobs, j.ID) || len(w.FailedJobs) >= maxFailedJobs {
+	if w == nil {
+		return
+	}
+	w.Failures++
+	if slices.Contains(w.FailedJobs, j.ID) || len(w.FailedJobs) >= maxFailedJobs {
 		return
 	}
 	w.FailedJobs = append(w.FailedJobs, j.ID)
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -80,6 +80,9 @@
 	// FailedJobs lists the distinct jobs that failed there since the last
 	// success.
 	FailedJobs []string
+	// Failures counts the failures there since the last success, also of jobs
+	// that FailedJobs lists already or has no room for.
+	Failures int
 }
 
 // Term is the placer role of a data centre.
--- a/ledger/runtimes.go
+++ b/ledger/runtimes.go
@@ -10,6 +10,9 @@
 type RunTimes struct {
 	Buckets [runTimeBuckets]uint32
 	Count   uint32
+	// Stops counts the attempts that were stopped after a start, and Saved those
+	// of them whose progress was kept. Saved is at most Stops.
+	Stops, Saved uint32
 }
 
 // halveAt is the count at which old observations are halved, so that the
@@ -31,6 +34,21 @@
 	}
 }
 
+// AddStop records that an attempt was stopped, with or without its progress.
+func (r *RunTimes) AddStop(saved bool) {
+	r.Stops++
+	if saved {
+		r.Saved++
+	}
+	if r.Stops >= halveAt {
+		r.Stops, r.Saved = r.Stops/2, r.Saved/2
+	}
+}
+
+// Keeps reports whether stopped attempts mostly keep their progress. Without any
+// observation it returns true.
+func (r *RunTimes) Keeps() bool { return r == nil || 2*r.Saved >= r.Stops }
+
 // Quantile returns an upper bound, in milliseconds, of the q-quantile. It
 // returns false when fewer than least observations were made.
 func (r *RunTimes) Quantile(q float64, least uint32) (int64, bool) {
