Gangs near their age bound are served, and running jobs move to make racks whole

Cause: 64-member gangs waited up to 9,585 s (bound 3,600), and the Bureau's racks stayed broken. Change: dispatch/aged.go reserves for the oldest adjacent gangs after 1/8 of the bound and stops what gives way after 1/2; dispatch/compact.go moves one job at a time, by checkpoint, towards the first rack in a fixed order; the fixed order ranks places while fragmentation weighs more; once-only jobs gather otherwise; the log learns which kinds keep their progress; the rest of an overdue job is a quarter of its age. The age bound's default is an hour (was a minute, when it only reserved). The stand-in's checkpoints can be shared, and the fake adds progress up over stops.

--- a/config/config.go
+++ b/config/config.go
@@ -44,13 +44,14 @@
 type Policy struct {
 	CompletionWeight    float64 `cbor:"c" json:"completionWeight"`
 	FragmentationWeight float64 `cbor:"f" json:"fragmentationWeight"`
-	// GangAge is the wait, in milliseconds, after which the oldest waiting
-	// gang gets a reservation; 0 means DefaultGangAge.
+	// GangAge is the wait, in milliseconds, that no gang should exceed; 0 means
+	// DefaultGangAge. After a part of it cells are reserved for a gang, and later
+	// borrowers are stopped for it.
 	GangAge int64 `cbor:"g,omitempty" json:"gangAge,omitempty"`
 }
 
 // DefaultGangAge is the default of Policy.GangAge, in milliseconds.
-const DefaultGangAge = 60_000
+const DefaultGangAge = 3_600_000
 
 // Clone returns a deep copy of c.
 func (c *Config) Clone() Config {
--- a/demo/yard.go
+++ b/demo/yard.go
@@ -21,6 +21,7 @@
 type yard struct {
 	log      *standin.Log
 	dir      *standin.Directory
+	saved    standin.Checkpoints
 	platform string
 	workers  map[string]*standin.Worker
 	hosts    map[string]*host
@@ -66,7 +67,7 @@
 func (y *yard) addWorkers(dc string, n int) error {
 	for i := range n {
 		name := fmt.Sprintf("%s-w%d", dc, i)
-		w := &standin.Worker{Name: name, DataCentre: dc, Rack: fmt.Sprintf("%s-r%d", dc, i/8), Incarnation: name + ".1"}
+		w := &standin.Worker{Name: name, DataCentre: dc, Rack: fmt.Sprintf("%s-r%d", dc, i/8), Incarnation: name + ".1", Checkpoints: &y.saved}
 		mux := http.NewServeMux()
 		upstream.Register(mux, w.Upstream())
 		a, err := y.serve(mux)
--- /dev/null
+++ b/dispatch/aged.go
@@ -0,0 +1,176 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/limpetrelay/limpetrelay/ledger"
+	"github.com/limpetrelay/limpetrelay/policy"
+	"github.com/limpetrelay/limpetrelay/rack"
+)
+
+// The parts of the age bound of gangs after which something is done for one.
+const (
+	// ownAge is the part after which a gang queues for its organisation's
+	// guarantee.
+	ownAge = 1.0 / 12
+	// reserveAge is the part after which cells are reserved for a gang as they
+	// become free.
+	reserveAge = 1.0 / 8
+	// stopAge is the part after which borrowers are stopped for a gang.
+	stopAge = 1.0 / 2
+	// keepAge is the part for which cells are kept before they are chosen anew.
+	keepAge = 1.0 / 2
+)
+
+// mostReserved bounds the gangs of a data centre that need adjacent cells and
+// have them reserved.
+const mostReserved = 3
+
+// aged reports whether c is a gang that has waited for the given part of the age
+// bound.
+func (s *State) aged(c *policy.Candidate, part float64) bool {
+	return c.Need.Members > 1 && float64(c.Waited) > part*float64(s.gangAge())
+}
+
+// placeAged keeps cells for a gang that has waited long, and stops others for it
+// when its age bound comes near. It reports whether the gang is being placed.
+func (s *State) placeAged(r *planning, c *policy.Candidate, j *ledger.Job, h *hold) bool {
+	switch {
+	case h != nil && !h.stops && r.oldest[c.Job] && s.aged(c, stopAge):
+		s.stopFor(c, h)
+	case h != nil:
+		if s.placeHeld(r, j, h) {
+			return true
+		}
+		if s.holds[c.Job] == nil {
+			// Others must not use the cells before they are chosen anew.
+			s.holdAged(r, c)
+		}
+	case r.oldest[c.Job]:
+		s.holdAged(r, c)
+	}
+	return false
+}
+
+// oldestAged returns the gangs that may have cells reserved: the oldest of those
+// that need adjacent cells, and the oldest of the others.
+func (s *State) oldestAged(queue []policy.Candidate) map[string]bool {
+	var adjacent, others []*policy.Candidate
+	for i := range queue {
+		c := &queue[i]
+		switch {
+		case !s.aged(c, reserveAge):
+		case c.Need.Adjacency == rack.AdjacencyAny:
+			others = append(others, c)
+		default:
+			adjacent = append(adjacent, c)
+		}
+	}
+	oldest := map[string]bool{}
+	for _, g := range []struct {
+		gangs []*policy.Candidate
+		most  int
+	}{{adjacent, mostReserved}, {others, 1}} {
+		slices.SortFunc(g.gangs, func(a, b *policy.Candidate) int { return cmp.Compare(a.Accepted, b.Accepted) })
+		for _, c := range g.gangs[:min(len(g.gangs), g.most)] {
+			oldest[c.Job] = true
+		}
+	}
+	return oldest
+}
+
+// giveBack frees the cells held for a job in the forests of a round, as far as
+// nothing else uses them.
+func (s *State) giveBack(r *planning, h *hold) {
+	for ; r != nil; r = r.whole {
+		for _, c := range h.cells {
+			if s.onTrial(c.Node) {
+				continue
+			}
+			taken, v := r.plan.Taken(c.Node), s.view(c.Node)
+			if n := r.free.Node(c.Node); n != nil {
+				n.Used &^= c.Mask &^ (taken | v.smallMask() | v.foreignMask(taken))
+			}
+			if n := r.reclaimable.Node(c.Node); n != nil {
+				n.Used &^= c.Mask &^ r.plan.Fixed(c.Node)
+			}
+		}
+	}
+}
+
+// claimAgain lets a moved job take its organisation's guarantee on the cells
+// held for it.
+func (r *planning) claimAgain(c *policy.Candidate, h *hold) {
+	abstract, ok := r.plan.Guarantee(c.Organisation, c.Need)
+	if ok && r.plan.Keeps(c.Organisation, h.cells, abstract) {
+		h.abstract = abstract
+	}
+}
+
+// holdAged reserves cells for an aged gang: those whose jobs that do not give way
+// are expected to have ended first. Nothing is stopped yet.
+func (s *State) holdAged(r *planning, c *policy.Candidate) {
+	all := r.reclaimable.Clone()
+	for i := range all.Nodes {
+		all.Nodes[i].Used &^= r.plan.Fixed(all.Nodes[i].Name)
+	}
+	cells, ok := all.Place(c.Need, s.soonest(r, c))
+	if !ok {
+		return
+	}
+	s.holds[c.Job] = &hold{org: c.Organisation, cells: cells, since: s.now, aged: true}
+	r.use(cells)
+}
+
+// soonest ranks nodes by when the jobs that do not give way to c are expected to
+// have ended.
+func (s *State) soonest(r *planning, c *policy.Candidate) rack.Rank {
+	until := map[string]int64{}
+	for _, id := range sortedKeys(s.drives) {
+		d := s.drives[id]
+		j := s.Ledger.Jobs[id]
+		if j == nil || s.givesWay(j, c) {
+			continue
+		}
+		left := s.rest(j, d) / 1000
+		for _, m := range j.Members {
+			until[m.Worker] = max(until[m.Worker], left+1)
+		}
+	}
+	return func(n *rack.Node, broken rack.Level) int {
+		if r.free.Node(n.Name) == nil {
+			return 1 << 30
+		}
+		return int(min(until[n.Name], 1<<24))*rack.NumLevels + int(broken)
+	}
+}
+
+// stopFor stops what gives way on the cells held for a gang that nears its age
+// bound.
+func (s *State) stopFor(c *policy.Candidate, h *hold) {
+	h.stops, h.since, s.dirty = true, s.now, true
+	for _, id := range sortedKeys(s.drives) {
+		j := s.Ledger.Jobs[id]
+		if j == nil || !s.givesWay(j, c) || !overlaps(j.Members, h.cells) {
+			continue
+		}
+		s.observe(j.Spec.Organisation, j.Spec.Class, "stoppedForAged", 1)
+		s.stopDrive(s.drives[id], "a gang of "+c.Organisation+" has waited for long")
+	}
+}
+
+// givesWay reports whether j may be stopped for the aged gang c: a smaller
+// repeatable job that borrows, or one of the same organisation that keeps its
+// progress.
+func (s *State) givesWay(j *ledger.Job, c *policy.Candidate) bool {
+	if j.Spec.Once || slotsOf(j.Members) >= c.Need.Members*c.Need.Level.Slots() {
+		return false
+	}
+	return !j.Guaranteed || j.Spec.Organisation == c.Organisation && s.keeps(j)
+}
+
+// keeps reports whether jobs like j keep their progress when they are stopped.
+func (s *State) keeps(j *ledger.Job) bool {
+	return s.Ledger.Learned[ledger.LearnedKey(j.Spec.Organisation, j.Spec.Class)].Keeps()
+}
--- a/dispatch/placer.go
+++ b/dispatch/placer.go
@@ -58,6 +58,8 @@
 	// something has changed since.
 	scheduledAt int64
 	dirty       bool
+	// movedAt is when a job was last moved.
+	movedAt int64
 }
 
 // term returns the data centre's current term.
--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -18,6 +18,10 @@
 	// aged is set for the reservation of an aged gang, which waits for its
 	// cells without stopping anyone.
 	aged bool
+	// stops is set for an aged hold whose borrowers were stopped.
+	stops bool
+	// moving is set while the job that the cells are for still runs elsewhere.
+	moving bool
 }
 
 // placeHeld places a job on the cells that were held for it, once they are
@@ -40,7 +44,7 @@
 			}
 			patience := int64(holdPatience)
 			if h.aged {
-				patience = agedPatience
+				patience = int64(keepAge * float64(s.gangAge()))
 			}
 			if s.now-h.since > patience {
 				delete(s.holds, j.ID)
@@ -86,6 +90,23 @@
 	return false
 }
 
+// cellsOf returns the cells of members, and slotsOf the number of their slots.
+func cellsOf(ms []record.Member) []rack.Cell {
+	cells := make([]rack.Cell, len(ms))
+	for i, m := range ms {
+		cells[i] = rack.Cell{Node: m.Worker, Mask: m.Mask}
+	}
+	return cells
+}
+
+func slotsOf(ms []record.Member) int {
+	n := 0
+	for _, m := range ms {
+		n += m.Mask.Count()
+	}
+	return n
+}
+
 // cheapest ranks nodes by the work, in seconds, that would be lost by stopping
 // the borrowers on them, and then by best fit.
 func (s *State) cheapest(r *planning) rack.Rank {
@@ -120,11 +141,7 @@
 		mostDoubled  = 6
 	)
 	cost := (s.now-d.placedAt)/1000 + 1
-	slots := 0
-	for _, m := range j.Members {
-		slots += m.Mask.Count()
-	}
-	cost *= int64(slots) << min(max(j.Attempt-1, 0), mostDoubled)
+	cost *= int64(slotsOf(j.Members)) << min(max(j.Attempt-1, 0), mostDoubled)
 	if j.Spec.Urgent || s.Ledger.Config.Classes[j.Spec.Class].Urgent {
 		cost *= urgentFactor
 	}
@@ -133,46 +150,3 @@
 	}
 	return cost
 }
-
-// holdAged reserves cells for the oldest aged gang, one at a time. The cells
-// are chosen as if borrowers and running jobs had gone, preferring free ones,
-// and the gang waits for them to become free.
-func (s *State) holdAged(r *planning, c *policy.Candidate) {
-	for _, h := range s.holds {
-		if h.aged {
-			return
-		}
-	}
-	all := r.reclaimable.Clone()
-	for i := range all.Nodes {
-		all.Nodes[i].Used &^= r.plan.Fixed(all.Nodes[i].Name)
-	}
-	cells, ok := all.Place(c.Need, s.soonest(r))
-	if !ok {
-		return
-	}
-	s.holds[c.Job] = &hold{org: c.Organisation, cells: cells, since: s.now, aged: true}
-	r.use(cells)
-}
-
-// soonest ranks nodes by when their jobs are expected to have ended.
-func (s *State) soonest(r *planning) rack.Rank {
-	until := map[string]int64{}
-	for _, id := range sortedKeys(s.drives) {
-		d := s.drives[id]
-		j := s.Ledger.Jobs[id]
-		if j == nil {
-			continue
-		}
-		left := max(0, s.expected(j)-(s.now-d.placedAt)) / 1000
-		for _, m := range j.Members {
-			until[m.Worker] = max(until[m.Worker], left+1)
-		}
-	}
-	return func(n *rack.Node, broken rack.Level) int {
-		if r.free.Node(n.Name) == nil {
-			return 1 << 30
-		}
-		return int(min(until[n.Name], 1<<24))*rack.NumLevels + int(broken)
-	}
-}
--- a/dispatch/schedule.go
+++ b/dispatch/schedule.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/limpetrelay/limpetrelay/config"
@@ -17,14 +18,8 @@
 	// holdPatience bounds how long cells are held for a reclaiming job, in
 	// milliseconds.
 	holdPatience = 30_000
-	// agedPatience bounds how long cells are reserved for an aged gang before
-	// they are chosen anew, in milliseconds.
-	agedPatience = 15 * 60_000
 	// runTimeQuantile of the observed run times is expected of a waiting job.
 	runTimeQuantile = 0.75
-	// ownAge is the part of the age bound after which a gang queues for its
-	// organisation's guarantee.
-	ownAge = 12
 	// leastObserved is the number of run times from which they are trusted
 	// more than the declared one.
 	leastObserved = 8
@@ -48,6 +43,8 @@
 	// first is, per organisation, the acceptance of the gang that queues for the
 	// organisation's guarantee.
 	first map[string]uint64
+	// oldest holds the aged gangs that may have cells reserved.
+	oldest map[string]bool
 	// covers remembers what covered has found.
 	covers map[coverKey]bool
 	// whole is the round that this one was narrowed from; nil for none.
@@ -63,7 +60,8 @@
 	}
 	s.dirty, s.scheduledAt = false, s.now
 	queue := s.candidates()
-	if len(queue) == 0 {
+	compacts := s.compacts()
+	if len(queue) == 0 && !compacts {
 		return
 	}
 	r := s.newPlanning()
@@ -71,12 +69,17 @@
 		queue[i].Guaranteed = r.covered(&queue[i])
 	}
 	r.policy.Order(queue, r.weights)
+	s.movedFirst(queue)
 	s.queueForGuarantees(r, queue)
+	r.oldest = s.oldestAged(queue)
 	for i := range queue {
 		if !s.place(r, &queue[i]) && r.policy.Strict {
 			return
 		}
 	}
+	if compacts {
+		s.compact(r)
+	}
 }
 
 // candidates returns the waiting jobs of the data centre.
@@ -98,7 +101,7 @@
 		class := s.Ledger.Config.Classes[j.Spec.Class]
 		q = append(q, policy.Candidate{
 			Job: id, Organisation: j.Spec.Organisation, Class: j.Spec.Class, Need: need,
-			Urgent: j.Spec.Urgent || class.Urgent, Priority: class.Priority,
+			Urgent: j.Spec.Urgent || class.Urgent, Once: j.Spec.Once, Priority: class.Priority,
 			Waited: max(0, s.wall-j.AcceptedTime), Expected: s.expected(j), Accepted: j.Accepted,
 		})
 	}
@@ -118,6 +121,15 @@
 	return j.Spec.RunTime
 }
 
+// rest returns how long a running job is expected to go on, in milliseconds. One
+// that has run for longer than expected is expected to go on for a quarter of
+// that time: run times have a long tail.
+func (s *State) rest(j *ledger.Job, d *drive) int64 {
+	const tail = 4
+	elapsed := s.now - d.placedAt
+	return max(s.expected(j)-elapsed, elapsed/tail)
+}
+
 // newPlanning returns a round with the holds taken into account.
 func (s *State) newPlanning() *planning {
 	p := s.Ledger.Config.Policy
@@ -144,25 +156,48 @@
 
 // policyView returns what the policy's Rank may know.
 func (s *State) policyView(r *planning) policy.View {
-	v := policy.View{RackUsed: map[string]int{}, RackUntil: map[string]int64{}}
+	v := policy.View{RackUsed: map[string]int{}, RackOnce: map[string]int{}, RackUntil: map[string]int64{}}
 	for i := range r.free.Nodes {
-		v.RackUsed[r.free.Nodes[i].Rack] += r.free.Nodes[i].Used.Count()
+		n := &r.free.Nodes[i]
+		if _, ok := v.RackUsed[n.Rack]; !ok {
+			v.RackUsed[n.Rack] = rack.LevelRack.Slots()
+		}
+		v.RackUsed[n.Rack] -= n.Free().Count()
 	}
+	v.RackOrder = rackOrder(r.free.Nodes)
 	for _, d := range s.drives {
 		j := s.Ledger.Jobs[d.job]
 		if j == nil {
 			continue
 		}
-		left := max(0, s.expected(j)-(s.now-d.placedAt))
+		left := s.rest(j, d)
 		for _, m := range j.Members {
 			if w := s.Ledger.Workers[m.Worker]; w != nil {
 				v.RackUntil[w.Rack] = max(v.RackUntil[w.Rack], left)
+				if j.Spec.Once {
+					v.RackOnce[w.Rack] += m.Mask.Count()
+				}
 			}
 		}
 	}
 	return v
 }
 
+// rackOrder numbers the racks of nodes, which are sorted by rack.
+func rackOrder(nodes []rack.Node) map[string]int {
+	slots := map[string]int{}
+	for i := range nodes {
+		slots[nodes[i].Rack] += nodes[i].Slots
+	}
+	names := sortedKeys(slots)
+	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(slots[a], slots[b]) })
+	order := map[string]int{}
+	for i, n := range names {
+		order[n] = i
+	}
+	return order
+}
+
 // addNode enters a worker into the forests of a round.
 func (s *State) addNode(r *planning, name string, held rack.Mask) {
 	usable := s.usable(name)
@@ -198,7 +233,7 @@
 	}
 	for i := range queue {
 		c := &queue[i]
-		if c.Guaranteed || c.Need.Members < 2 || c.Waited < s.gangAge()/ownAge || !r.plan.Holds(c.Organisation, c.Need) {
+		if c.Guaranteed || !s.aged(c, ownAge) || !r.plan.Holds(c.Organisation, c.Need) {
 			continue
 		}
 		if first, ok := r.first[c.Organisation]; !ok || c.Accepted < first {
@@ -228,13 +263,19 @@
 // candidate is being placed.
 func (s *State) place(r *planning, c *policy.Candidate) bool {
 	j := s.Ledger.Jobs[c.Job]
+	if avoid := s.avoided(j, c); len(avoid) > 0 {
+		r = r.without(avoid)
+	}
 	h := s.holds[c.Job]
-	claims := c.Guaranteed && r.mayClaim(c)
-	if h != nil && (!h.aged || !claims) {
+	if h != nil && !h.aged {
+		if h.moving && c.Guaranteed && r.mayClaim(c) {
+			r.claimAgain(c, h)
+		}
 		return s.placeHeld(r, j, h)
 	}
-	if avoid := s.avoided(j, c); len(avoid) > 0 {
-		r = r.without(avoid)
+	if h != nil {
+		// The cells kept for a gang must not stand in its own way.
+		s.giveBack(r, h)
 	}
 	if abstract, ok := r.plan.Guarantee(c.Organisation, c.Need); ok && r.mayClaim(c) {
 		if s.placeGuaranteed(r, c, j, abstract) {
@@ -244,14 +285,13 @@
 	if s.placeFree(r, c, j) {
 		return true
 	}
-	if !r.policy.NoGangHold && c.Need.Members > 1 && c.Waited > s.gangAge() {
-		s.holdAged(r, c)
+	if h != nil {
+		r.use(h.cells)
 	}
-	return false
+	return !r.policy.NoGangHold && s.placeAged(r, c, j, h)
 }
 
-// gangAge returns the wait after which a gang gets a reservation, in
-// milliseconds.
+// gangAge returns the age bound of gangs, in milliseconds.
 func (s *State) gangAge() int64 {
 	if a := s.Ledger.Config.Policy.GangAge; a > 0 {
 		return a
--- /dev/null
+++ b/entry/placement_test.go
@@ -0,0 +1,145 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetrelay/limpetrelay/config"
+	"github.com/limpetrelay/limpetrelay/dispatch"
+	"github.com/limpetrelay/limpetrelay/job"
+	"github.com/limpetrelay/limpetrelay/rack"
+	"github.com/limpetrelay/limpetrelay/standin"
+)
+
+// setPolicy patches the policy of a world at version 1.
+func (w *world) setPolicy(t *testing.T, p config.Policy) {
+	t.Helper()
+	_, err := w.patch("a-e0", config.Patch{Base: 1, Author: "op", Changes: []config.Change{{SetPolicy: &p}}})
+	require.NoError(t, err)
+}
+
+// whole returns a borrower's job on n whole workers.
+func whole(key string, n int, ms int64) job.Spec {
+	s := spec("lender", "batch", key, ms)
+	s.Accelerators, s.Members, s.Key = 8, n, key
+	return s
+}
+
+// attempts returns how often a job was placed.
+func (w *world) attempts(key string) int {
+	n := 0
+	w.host(w.placerOf()).inspect(w.ctx, func(s *dispatch.State) {
+		for _, j := range s.Ledger.Jobs {
+			if j.Spec.Key == key {
+				n = j.Attempt
+			}
+		}
+	})
+	return n
+}
+
+// TestMoveMakesRackWhole lets a job run in the second rack until there is room in
+// the first. It is moved there, keeps its progress, and the second rack is whole.
+func TestMoveMakesRackWhole(t *testing.T) {
+	for _, weight := range []float64{3, 0} {
+		t.Run(fmt.Sprintf("fragmentation weight %g", weight), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t.Context(), t)
+				defer w.stop()
+				w.addWorkers("a", 16)
+				w.startHost("a-e0", "a")
+				w.startHost("a-e1", "a")
+				require.True(t, w.settled(16))
+				require.NoError(t, w.organise("a-e0", map[string]rack.Shape{"lender": {}}))
+				w.setPolicy(t, config.Policy{CompletionWeight: 1, FragmentationWeight: weight})
+				for i := range 8 {
+					_, err := w.submit("a-e0", whole(fmt.Sprint("fill", i), 1, 5*60_000), 0)
+					require.NoError(t, err)
+				}
+				_, err := w.submit("a-e0", whole("moved", 2, 20*60_000), 0)
+				require.NoError(t, err)
+				require.True(t, w.until(time.Minute, func() bool { return len(w.runningOn("moved")) == 2 }))
+				began := time.Now()
+				r, err := w.submit("a-e1", whole("moved", 2, 20*60_000), 60*time.Minute)
+				require.NoError(t, err)
+				require.Equal(t, job.Completed, r.Outcome.Result)
+				if weight == 0 {
+					require.Equal(t, 1, w.attempts("moved"), "nothing moves for completion's sake")
+					return
+				}
+				require.Equal(t, 2, w.attempts("moved"))
+				require.Less(t, time.Since(began), 21*time.Minute, "the move keeps the progress")
+				var racks []string
+				for _, a := range r.Outcome.Answers {
+					racks = append(racks, w.workers[a.Worker].Rack)
+				}
+				require.Equal(t, []string{"a-r0", "a-r0"}, racks)
+			})
+		})
+	}
+}
+
+// TestAgedGangStopsBorrowers fills all workers with borrowers' long jobs and
+// submits a gang as large as the rack that borrows too. It starts within the age
+// bound; those that gave way run again, and a gang of its size does not.
+func TestAgedGangStopsBorrowers(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		const bound = time.Minute
+		w.setPolicy(t, config.Policy{GangAge: bound.Milliseconds()})
+		for i := range 8 {
+			_, err := w.submit("a-e0", whole(fmt.Sprint("long", i), 1, 30*60_000), 0)
+			require.NoError(t, err)
+		}
+		require.True(t, w.until(10*time.Second, func() bool { return len(w.runningOn("long0")) == 1 && len(w.runningOn("long7")) == 1 }))
+		gang := whole("gang", 8, 10*60_000)
+		gang.Adjacency = rack.AdjacencyRack
+		second := whole("second", 8, 1000)
+		second.Adjacency = rack.AdjacencyRack
+		began := time.Now()
+		for _, s := range []job.Spec{gang, second} {
+			_, err := w.submit("a-e1", s, 0)
+			require.NoError(t, err)
+		}
+		require.True(t, w.until(2*bound, func() bool { return len(w.runningOn("gang")) == 8 }))
+		t.Logf("the gang started after %s", time.Since(began))
+		require.LessOrEqual(t, time.Since(began), bound)
+		time.Sleep(5 * time.Minute)
+		require.Len(t, w.runningOn("gang"), 8, "a gang does not give way to one of its size")
+		for i := range 8 {
+			r, err := w.submit("a-e0", whole(fmt.Sprint("long", i), 1, 30*60_000), 2*time.Hour)
+			require.NoError(t, err)
+			require.Equal(t, job.Completed, r.Outcome.Result)
+		}
+	})
+}
+
+// TestFailingWorkerStaysOut keeps a worker that fails everything for long. Its
+// trials become rarer and never end.
+func TestFailingWorkerStaysOut(t *testing.T) {
+	const cooloff = time.Second
+	inTunedWorld(t, func(s *Settings) { s.Cooloff = cooloff.Milliseconds() }, func(t *testing.T, w *world) {
+		bad := w.workers["a-w0"]
+		bad.SetFaults(standin.WorkerFaults{FailAll: true})
+		stop := time.Now().Add(6 * time.Minute)
+		for i := 0; time.Now().Before(stop); i++ {
+			_, err := w.submit("a-e0", whole(fmt.Sprint("p", i), 1, 4000), 0)
+			require.NoError(t, err)
+			time.Sleep(500 * time.Millisecond)
+		}
+		late := 0
+		for _, i := range bad.History() {
+			if i.Start.After(stop.Add(-2 * time.Minute)) {
+				late++
+			}
+		}
+		t.Logf("%d starts on the worker, %d of them in the last two minutes", len(bad.History()), late)
+		// The cool-off has doubled four times.
+		require.LessOrEqual(t, late, 1+int(2*time.Minute/(16*cooloff)))
+		require.NotZero(t, late, "a worker is tried again")
+	})
+}
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -27,6 +27,8 @@
 	log  *standin.Log
 	dir  *standin.Directory
 	home string
+	// saved keeps the progress of stopped tasks.
+	saved standin.Checkpoints
 
 	mu      sync.Mutex
 	workers map[string]*standin.Worker
@@ -57,7 +59,7 @@
 func newWorld(ctx context.Context, tb testing.TB) *world {
 	return &world{
 		t: tb, ctx: ctx, home: "a", log: &standin.Log{}, dir: &standin.Directory{Lag: time.Second},
-		workers: map[string]*standin.Worker{}, hosts: map[string]*running{}, cuts: map[string]bool{}, dcOf: map[string]string{},
+		workers: map[string]*standin.Worker{}, hosts: map[string]*running{}, cuts: map[string]bool{}, dcOf: map[string]string{}, skew: map[string]time.Duration{},
 	}
 }
 
@@ -68,6 +70,7 @@
 		w.mu.Lock()
 		w.workers[name] = &standin.Worker{
 			Name: name, DataCentre: dc, Rack: fmt.Sprintf("%s-r%d", dc, i/8), Incarnation: name + ".1",
+			Checkpoints: &w.saved,
 		}
 		w.dcOf[name] = dc
 		w.mu.Unlock()
@@ -265,7 +268,6 @@
 func (w *world) seams(name string, r *running) Seams {
 	const store = "store"
 	w.dcOf[store] = w.home
-	skew := w.skew[name]
 	return Seams{
 		Log: platform.Log{
 			Append: func(ctx context.Context, stream string, data []byte) (uint64, error) {
@@ -282,12 +284,26 @@
 		Directory: platform.Directory{List: func(ctx context.Context) ([]platform.Host, error) {
 			return over(ctx, w, r, name, store, 2*time.Second, w.dir.List)
 		}},
-		Clock:  func() time.Time { return time.Now().Add(skew) },
+		Clock:  func() time.Time { return time.Now().Add(w.skewOf(name)) },
 		Worker: func(address string) upstream.Worker { return w.worker(r, name, address) },
 		Peer:   func(address string) peer.Peer { return w.peer(r, name, address) },
 	}
 }
 
+// setSkew makes a host's wall clock wrong by d, and skewOf returns by how much it
+// is.
+func (w *world) setSkew(name string, d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.skew[name] = d
+}
+
+func (w *world) skewOf(name string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.skew[name]
+}
+
 // worker returns the calls from a host to a worker.
 func (w *world) worker(r *running, name, to string) upstream.Worker {
 	w.mu.Lock()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -21,6 +21,8 @@
 	Waited int64
 	// Expected is the expected run time, in milliseconds; 0 for unknown.
 	Expected int64
+	// Once is set for a job that must not be stopped, since it runs at most once.
+	Once bool
 	// Guaranteed is set when the organisation's unused guarantee covers it.
 	Guaranteed bool
 	// Accepted orders candidates by their place in the log.
@@ -73,8 +75,14 @@
 
 // View is what a Rank may know of a data centre.
 type View struct {
-	// RackUsed is the number of slots in use per rack.
+	// RackUsed is the number of slots in use per rack. Those of missing and
+	// unusable workers count as used.
 	RackUsed map[string]int
+	// RackOrder numbers the racks: those with missing workers first, which cannot
+	// become whole, and then by name.
+	RackOrder map[string]int
+	// RackOnce is the number of slots per rack that once-only jobs use.
+	RackOnce map[string]int
 	// RackUntil is, per rack, when its jobs are expected to have ended, in
 	// milliseconds from now.
 	RackUntil map[string]int64
@@ -83,7 +91,8 @@
 // packed breaks the smallest block first, a whole free rack last of all, and
 // among equals takes the rack whose jobs end at about the same time, so that
 // racks become whole again together. With a larger fragmentation weight the
-// fuller rack goes before the better match in time.
+// fuller rack goes before the better match in time. Jobs that must not be stopped
+// gather in the same racks, so that the others can be made whole by stopping.
 func packed(c *Candidate, v *View, w Weights) rack.Rank {
 	expected := c.Expected
 	if expected == 0 {
@@ -98,8 +107,11 @@
 			apart = -apart
 		}
 		room := rack.LevelRack.Slots() - v.RackUsed[n.Rack]
+		if c.Once && w.Fragmentation <= w.Completion {
+			return (rack.LevelRack.Slots()-v.RackOnce[n.Rack])<<8 + int(broken)
+		}
 		if w.Fragmentation > w.Completion {
-			return (int(broken)<<8+room)<<6 + apart
+			return (v.RackOrder[n.Rack]<<4+int(broken))<<6 + apart
 		}
 		return (int(broken)<<6+apart)<<8 + room
 	}
--- a/standin/task.go
+++ b/standin/task.go
@@ -66,11 +66,13 @@
 	// forgotten is set once a placer has said that the end is safe in the log.
 	forgotten bool
 	interval  int
-	started   time.Time
-	done      chan struct{}
-	lease     *time.Timer
-	work      *time.Timer
-	output    []byte
+	// base is the progress with which the task began, in milliseconds.
+	base    int64
+	started time.Time
+	done    chan struct{}
+	lease   *time.Timer
+	work    *time.Timer
+	output  []byte
 }
 
 // begin runs t.
@@ -91,7 +93,8 @@
 	}
 	left := work.Run
 	if t.order.Resume {
-		left = max(0, left-w.progress[t.order.Job])
+		t.base = w.checkpoints().Saved(t.order.Job)
+		left = max(0, left-t.base)
 	}
 	if work.Oversize {
 		left /= 2
@@ -149,7 +152,7 @@
 		w.history[t.interval].End, w.history[t.interval].How = time.Now(), how
 		if checkpoint {
 			t.Checkpointed = true
-			w.save(t)
+			w.checkpoints().Save(t.order.Job, t.base+t.RunTime)
 		}
 	}
 	t.State, t.End, t.Message, t.Mask = upstream.Ended, how, message, 0
@@ -167,14 +170,6 @@
 	}
 }
 
-// save keeps the progress of t for a resumed attempt.
-func (w *Worker) save(t *task) {
-	if w.progress == nil {
-		w.progress = map[string]int64{}
-	}
-	w.progress[t.order.Job] += t.RunTime
-}
-
 // renew starts the lease of t anew.
 func (w *Worker) renew(t *task) {
 	t.lease.Reset(time.Duration(max(t.order.Lease, smallLease)) * time.Millisecond)
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -42,6 +42,9 @@
 	// Memory bounds the remembered tasks. Running tasks and the ends that no
 	// placer has told it to forget are kept beyond it. Default 65,536.
 	Memory int
+	// Checkpoints keeps the progress of stopped tasks. Nil means a store of the
+	// worker's own, which a restart empties.
+	Checkpoints *Checkpoints
 
 	mu       sync.Mutex
 	faults   WorkerFaults
@@ -54,8 +57,8 @@
 	history  []Interval
 	// news is closed and replaced when a task of a placer ends.
 	news chan struct{}
-	// progress is the saved run time per job and member, in milliseconds.
-	progress map[string]int64
+	// own is used when Checkpoints is nil.
+	own Checkpoints
 }
 
 // SetFaults replaces the faults.
@@ -91,7 +94,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.dead, w.Incarnation, w.term, w.revision, w.used = false, incarnation, 0, 0, 0
-	w.tasks, w.progress = nil, nil
+	w.tasks = nil
+	w.own.clear()
 }
 
 // History returns every run so far, also of earlier incarnations.
@@ -101,6 +105,14 @@
 	return slices.Clone(w.history)
 }
 
+// checkpoints returns the store of saved progress.
+func (w *Worker) checkpoints() *Checkpoints {
+	if w.Checkpoints != nil {
+		return w.Checkpoints
+	}
+	return &w.own
+}
+
 // Remembered returns the number of tasks that w remembers.
 func (w *Worker) Remembered() int {
 	w.mu.Lock()
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -58,7 +58,8 @@
 	Lease int64 `cbor:"l"`
 	// Evict lets a reservation stop small tasks that are in its cell.
 	Evict bool `cbor:"x,omitempty"`
-	// Resume continues from the last checkpoint of Job.
+	// Resume continues from the last checkpoint of Job, on whichever worker it
+	// was saved.
 	Resume  bool   `cbor:"r,omitempty"`
 	Payload []byte `cbor:"b,omitempty"`
 }
--- a/workload/fake.go
+++ b/workload/fake.go
@@ -31,6 +31,8 @@
 	mask     rack.Mask
 	revision uint64
 	started  int64
+	// base is the progress with which the task began, in milliseconds.
+	base int64
 }
 
 // report returns what changed since the revision asked for.
@@ -79,7 +81,7 @@
 // begin runs a task.
 func (r *runner) begin(f *fake, t *fakeTask) {
 	j := t.job
-	t.State, t.started = upstream.Running, r.now
+	t.State, t.started, t.base = upstream.Running, r.now, j.saved
 	f.touch(t)
 	r.busy += t.mask.Count()
 	if j.started == 0 {
@@ -119,7 +121,7 @@
 	case how == upstream.Completed:
 	case j.class.keeps:
 		t.Checkpointed = true
-		j.saved = min(j.run, max(j.saved, t.RunTime))
+		j.saved = min(j.run, max(j.saved, t.base+t.RunTime))
 	default:
 		r.lost += t.RunTime * int64(t.mask.Count())
 	}
--- a/workload/run.go
+++ b/workload/run.go
@@ -63,9 +63,12 @@
 	// busy is the number of slots that run a task.
 	busy int
 	// lost is the work lost by stops, in slot-milliseconds.
-	lost    int64
-	events  int
-	sampler sampler
+	lost int64
+	// moved counts the jobs that were moved to make a rack whole, and gaveWay
+	// those that were stopped for an aged gang.
+	moved, gaveWay int
+	events         int
+	sampler        sampler
 }
 
 // timer is a function to call at a time.
@@ -241,11 +244,23 @@
 		r.member(*f.Member)
 	case f.Reply != nil:
 		r.reply(f.Reply)
+	case f.Observe != nil:
+		r.observe(f.Observe)
 	case f.Broken != nil:
 		panic(f.Broken.Message)
 	}
 }
 
+// observe counts stops.
+func (r *runner) observe(o *dispatch.Observation) {
+	switch o.Name {
+	case "moved":
+		r.moved++
+	case "stoppedForAged":
+		r.gaveWay++
+	}
+}
+
 // jobOf returns the run of a recorded job.
 func (r *runner) jobOf(id string) *jobRun { return r.jobs[r.s.Ledger.Jobs[id].Spec.Key] }
 
