Soak: wrong clocks, lost hosts and one-way cuts; four worlds beside each other

Change: every host's wall clock is wrong by up to 10 s and jumps; hosts are lost with their connections silent; hosts are cut one way from the log, from workers and from peers, either way.

--- a/entry/soak_test.go
+++ b/entry/soak_test.go
@@ -23,7 +23,7 @@
 var soakFor = flag.Duration("soak.for", 4*time.Minute, "virtual time under faults of one randomised run")
 
 func TestMain(m *testing.M) {
-	fixedseed.Set("12")
+	fixedseed.Set("3")
 	os.Exit(m.Run())
 }
 
@@ -43,9 +43,19 @@
 	"killWorker", "silentWorker", "loseWorkerAnswers", "failAllWorker", "leaveWorker", "unlistWorker",
 	"logDown", "logLosesAnswers", "logLateAnswers", "logSlow", "listDown",
 	"cutDataCentre", "cutDataCentreOneWay", "cutHostFromLog", "cutHostFromWorker", "cutHosts",
+	"cutHostToLog", "cutLogToHost", "cutHostToWorker", "cutWorkerToHost", "cutHostsOneWay",
+	"loseHost", "jumpClock",
 	"rollHosts", "cancelWave", "racePatches",
 }
 
+const (
+	// worldsPerCheck is the number of worlds that run beside each other in one
+	// check, each with its own script.
+	worldsPerCheck = 4
+	// mostSkew bounds the error of a host's wall clock.
+	mostSkew = 10 * time.Second
+)
+
 // drawScript draws the faults of one run.
 func drawScript(rt *rapid.T) []step {
 	return rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) step {
@@ -63,14 +73,24 @@
 func TestSoak(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
-		script := drawScript(rt)
-		seed := rapid.Uint64().Draw(rt, "seed")
-		var faultsFound []string
-		synctest.Test(t, func(t *testing.T) {
-			faultsFound = soak(t, script, seed, *soakFor)
+		var scripts [worldsPerCheck][]step
+		var seeds [worldsPerCheck]uint64
+		var found [worldsPerCheck][]string
+		for i := range worldsPerCheck {
+			scripts[i], seeds[i] = drawScript(rt), rapid.Uint64().Draw(rt, "seed")
+		}
+		t.Run("check", func(t *testing.T) {
+			for i := range worldsPerCheck {
+				t.Run(fmt.Sprint("world", i), func(t *testing.T) {
+					t.Parallel()
+					synctest.Test(t, func(t *testing.T) { found[i] = soak(t, scripts[i], seeds[i], *soakFor) })
+				})
+			}
 		})
-		if len(faultsFound) > 0 {
-			rt.Fatalf("%s", strings.Join(faultsFound, "\n"))
+		for i, f := range found {
+			if len(f) > 0 {
+				rt.Fatalf("world %d: %s", i, strings.Join(f, "\n"))
+			}
 		}
 	})
 }
@@ -81,6 +101,10 @@
 	w := newWorld(t.Context(), t)
 	w.tune = func(s *Settings) { s.SnapshotRecords, s.SnapshotEvery = 60, 20*time.Second }
 	w.log.Retention = 3 * time.Minute
+	rnd := rand.New(rand.NewPCG(seed, 9))
+	for _, n := range []string{"a-e0", "a-e1", "a-e2", "b-e0", "b-e1", "b-e2"} {
+		w.skew[n] = time.Duration(rnd.Int64N(int64(2*mostSkew))) - mostSkew
+	}
 	for _, dc := range []string{"a", "b"} {
 		w.addWorkers(dc, 8)
 		for i := range 3 {
@@ -173,6 +197,11 @@
 	case "listDown":
 		w.dir.SetDown(true)
 		w.later(ctx, s.Long, func() { w.dir.SetDown(false) })
+	case "loseHost":
+		w.freeze(host, s.Long)
+		w.later(ctx, s.Long/2, func() { w.bounce(ctx, host, s.Long/2) })
+	case "jumpClock":
+		w.setSkew(host, time.Duration(rnd.Int64N(int64(2*mostSkew)))-mostSkew)
 	case "rollHosts":
 		go w.roll(ctx, hosts)
 	default:
@@ -213,6 +242,16 @@
 		cut(host, worker, worker, host)
 	case "cutHosts":
 		cut(host, other, other, host)
+	case "cutHostToLog":
+		cut(host, "store")
+	case "cutLogToHost":
+		cut("store", host)
+	case "cutHostToWorker":
+		cut(host, worker)
+	case "cutWorkerToHost":
+		cut(worker, host)
+	case "cutHostsOneWay":
+		cut(host, other)
 	}
 }
 
