--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -90,15 +90,7 @@
 	return false
 }
 
-// cellsOf returns the cells of members, and slotsOf the number of their slots.
-func cellsOf(ms []record.Member) []rack.Cell {
-	cells := make([]rack.Cell, len(ms))
-	for i, m := range ms {
-		cells[i] = rack.Cell{Node: m.Worker, Mask: m.Mask}
-	}
-	return cells
-}
-
+// slotsOf returns the number of slots of members.
 func slotsOf(ms []record.Member) int {
 	n := 0
 	for _, m := range ms {
