The list of hosts goes through the placer, and control messages carry less

Cause: every host read the platform's whole list once a second, 0.0057 KB/s per worker of all data centres, most of a follower's bytes; and each heartbeat sent a date, a library's name and version, and a gzip frame around some 100 bytes. Ruled out: a list per data centre (the platform gives one list). Change: the placer hands on its data centre's part in its answers, by a sum and only when it differs; a follower reads the list itself when the placer's is older than 3 s. Answers are compressed from 2 KB on; the headers nobody reads are gone. Test: TestListThroughPlacer (one of three hosts looks; all three when the placer is cut off from the list; the next placer after its death).

--- a/entry/gang_test.go
+++ b/entry/gang_test.go
@@ -1,8 +1,8 @@
 package entry
 
 import (
-	"sync"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
--- a/entry/host.go
+++ b/entry/host.go
@@ -67,6 +67,7 @@
 	events chan event
 	view   atomic.Pointer[View]
 	tail   tailBuffer
+	list   hostList
 	snaps  snapshots
 	// recover holds why a snapshot is needed; nil for no need.
 	recover atomic.Pointer[string]
--- /dev/null
+++ b/entry/list.go
@@ -0,0 +1,130 @@
+package entry
+
+import (
+	"context"
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"github.com/limpetrelay/limpetrelay/dispatch"
+	"github.com/limpetrelay/limpetrelay/peer"
+	"github.com/limpetrelay/limpetrelay/platform"
+	"github.com/limpetrelay/limpetrelay/retry"
+	"github.com/limpetrelay/limpetrelay/wire"
+)
+
+// staleList is the age of the placer's list of hosts from which on a host reads
+// the platform's list itself.
+const staleList = 3 * time.Second
+
+// hostList is the newest list of the hosts of the data centre. The zero value is
+// empty.
+type hostList struct {
+	mu    sync.Mutex
+	hosts []platform.Host
+	// digest is the sum of hosts; 0 for none.
+	digest uint64
+	// readAt is when the platform last gave the list to this host, and relayedAt
+	// when the placer last said that its own is fresh.
+	readAt, relayedAt time.Time
+}
+
+// listLoop follows the list of hosts. While the placer hands on a fresh list, the
+// platform's is not read: it grows with all data centres, and every host would
+// pay for it.
+func (h *Host) listLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !h.list.relayed() {
+			hosts, err := h.Directory.List(ctx)
+			if err == nil {
+				h.list.read(own(hosts, h.DataCentre))
+			}
+			h.apply(ctx, dispatch.Event{Hosts: &dispatch.Hosts{Hosts: hosts, Err: err}})
+		}
+		retry.Pause(ctx, listEvery)
+	}
+}
+
+// listFromPlacer takes the list that came with the placer's answer.
+func (h *Host) listFromPlacer(ctx context.Context, r *peer.TailResponse) {
+	if !r.Placer || r.ListAge < 0 || r.ListAge > staleList.Milliseconds() {
+		return
+	}
+	if h.list.relay(r.List, r.Hosts) {
+		h.apply(ctx, dispatch.Event{Hosts: &dispatch.Hosts{Hosts: r.Hosts}})
+	}
+}
+
+// own returns the hosts of a data centre.
+func own(hosts []platform.Host, dc string) []platform.Host {
+	var mine []platform.Host
+	for _, h := range hosts {
+		if h.DataCentre == dc {
+			mine = append(mine, h)
+		}
+	}
+	return mine
+}
+
+// digestOf returns the sum of a list.
+func digestOf(hosts []platform.Host) uint64 {
+	b, err := wire.Encode(hosts)
+	if err != nil {
+		return 0
+	}
+	f := fnv.New64a()
+	f.Write(b)
+	return f.Sum64()
+}
+
+// read takes a list from the platform.
+func (l *hostList) read(hosts []platform.Host) {
+	d := digestOf(hosts)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hosts, l.digest, l.readAt = hosts, d, time.Now()
+}
+
+// relay takes a list from the placer, without hosts when it is the one already
+// known. It reports whether the list is new.
+func (l *hostList) relay(digest uint64, hosts []platform.Host) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if digest == l.digest {
+		l.relayedAt = time.Now()
+		return false
+	}
+	if len(hosts) == 0 {
+		return false
+	}
+	l.hosts, l.digest, l.relayedAt = hosts, digest, time.Now()
+	return true
+}
+
+// relayed reports whether the placer has handed a fresh list on lately.
+func (l *hostList) relayed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.relayedAt.IsZero() && time.Since(l.relayedAt) < staleList
+}
+
+// sum returns the sum of the newest list; 0 for none.
+func (l *hostList) sum() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.digest
+}
+
+// since returns what a peer with the list of the given sum needs, and the time
+// since the platform was read, in milliseconds.
+func (l *hostList) since(digest uint64) (sum uint64, hosts []platform.Host, age int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.readAt.IsZero() {
+		return 0, nil, -1
+	}
+	if digest != l.digest {
+		hosts = l.hosts
+	}
+	return l.digest, hosts, time.Since(l.readAt).Milliseconds()
+}
--- a/entry/serving_test.go
+++ b/entry/serving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -10,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/limpetrelay/limpetrelay/config"
+	"github.com/limpetrelay/limpetrelay/dispatch"
 	"github.com/limpetrelay/limpetrelay/fault"
 	"github.com/limpetrelay/limpetrelay/job"
 	"github.com/limpetrelay/limpetrelay/platform"
@@ -24,6 +26,60 @@
 	inForceBound = 7 * time.Second
 )
 
+// looks returns how often each host looks at the list of hosts in ten seconds.
+func (w *world) looks() map[string]int {
+	w.mu.Lock()
+	clear(w.lists)
+	w.mu.Unlock()
+	time.Sleep(10 * time.Second)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.lists)
+}
+
+// TestListThroughPlacer counts the looks at the list: by the placer alone while it
+// can, by everyone while it is cut off from the list, by the next one after it.
+func TestListThroughPlacer(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		p := w.placerOf()
+		time.Sleep(3 * time.Second)
+		n := w.looks()
+		require.GreaterOrEqual(t, n[p], 9)
+		require.Len(t, n, 1, "%v", n)
+		for _, h := range w.hostNames() {
+			require.Equal(t, "a-w3", w.addressAt(h, "a-w3"))
+		}
+		w.mu.Lock()
+		w.workers["moved"], w.dcOf["moved"] = w.workers["a-w3"], "a"
+		w.mu.Unlock()
+		w.dir.Set(platform.Host{Name: "a-w3", Kind: platform.KindWorker, DataCentre: "a", Address: "moved"})
+		require.True(t, w.until(5*time.Second, func() bool {
+			for _, h := range w.hostNames() {
+				if w.addressAt(h, "a-w3") != "moved" {
+					return false
+				}
+			}
+			return true
+		}), "the change reaches everyone")
+		w.cut(p, "store", true)
+		time.Sleep(5 * time.Second)
+		require.Len(t, w.looks(), 3, "a stale list is not relied on")
+		w.cut(p, "store", false)
+		w.killHost(w.placerOf())
+		time.Sleep(5 * time.Second)
+		n = w.looks()
+		require.GreaterOrEqual(t, n[w.placerOf()], 9)
+		require.Len(t, n, 1, "%v", n)
+	})
+}
+
+// addressAt returns where a host believes a worker to be.
+func (w *world) addressAt(host, worker string) string {
+	var a string
+	w.host(host).inspect(w.ctx, func(s *dispatch.State) { a = s.WorkerAddress(worker) })
+	return a
+}
+
 // TestLeavingWorker sends small and recorded work while a worker leaves, told
 // by the worker itself or by the list alone.
 func TestLeavingWorker(t *testing.T) {
--- a/entry/tail.go
+++ b/entry/tail.go
@@ -70,6 +70,9 @@
 		h.Metrics.Count("peerBytes", "", "", int64(len(e.Data)))
 	}
 	h.apply(ctx, dispatch.Event{Tail: &dispatch.Tail{Page: r.Page, Err: err, Peer: pv}})
+	if err == nil {
+		h.listFromPlacer(ctx, &r)
+	}
 	return err == nil && !r.Missing && r.LogAge < staleLog
 }
 
@@ -77,7 +80,9 @@
 func (h *Host) askPlacer(ctx context.Context, v *View, hold time.Duration) (peer.TailResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, hold+v.TailGiveUp-v.TailHold)
 	defer cancel()
-	return h.Peer(v.PlacerAddress).Tail(ctx, peer.TailRequest{Host: h.Host(), From: v.Next, Wait: hold.Milliseconds()})
+	return h.Peer(v.PlacerAddress).Tail(ctx, peer.TailRequest{
+		Host: h.Host(), From: v.Next, Wait: hold.Milliseconds(), List: h.list.sum(),
+	})
 }
 
 // Tail serves the call of package peer.
@@ -87,18 +92,11 @@
 	if !v.Ready {
 		return peer.TailResponse{}, fault.New(fault.Unavailable, "this host is not ready", "read from the log")
 	}
-	return peer.TailResponse{
+	res := peer.TailResponse{
 		Page: page, Missing: missing, Term: v.Term, Placer: v.Placer, Leaving: v.Draining, LogAge: v.LogAge,
-	}, nil
-}
-
-// listLoop follows the list of hosts.
-func (h *Host) listLoop(ctx context.Context) {
-	for ctx.Err() == nil {
-		hosts, err := h.Directory.List(ctx)
-		h.apply(ctx, dispatch.Event{Hosts: &dispatch.Hosts{Hosts: hosts, Err: err}})
-		retry.Pause(ctx, listEvery)
 	}
+	res.List, res.Hosts, res.ListAge = h.list.since(r.List)
+	return res, nil
 }
 
 // tailBuffer keeps the newest records for peers. The zero value is empty.
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -40,7 +40,9 @@
 	dcOf   map[string]string
 	// skew is the error of each host's wall clock.
 	skew map[string]time.Duration
-	tune func(*Settings)
+	// lists counts each host's looks at the list of hosts.
+	lists map[string]int
+	tune  func(*Settings)
 	// before, when set, is told of each call to a worker before it is sent.
 	before func(from, to, operation, task string)
 	broken []string
@@ -61,7 +63,7 @@
 func newWorld(ctx context.Context, tb testing.TB) *world {
 	return &world{
 		t: tb, ctx: ctx, home: "a", log: &standin.Log{}, dir: &standin.Directory{Lag: time.Second},
-		workers: map[string]*standin.Worker{}, hosts: map[string]*running{}, cuts: map[string]bool{}, dcOf: map[string]string{}, skew: map[string]time.Duration{},
+		workers: map[string]*standin.Worker{}, hosts: map[string]*running{}, cuts: map[string]bool{}, dcOf: map[string]string{}, skew: map[string]time.Duration{}, lists: map[string]int{},
 	}
 }
 
@@ -284,6 +286,9 @@
 			},
 		},
 		Directory: platform.Directory{List: func(ctx context.Context) ([]platform.Host, error) {
+			w.mu.Lock()
+			w.lists[name]++
+			w.mu.Unlock()
 			return over(ctx, w, r, name, store, 2*time.Second, w.dir.List)
 		}},
 		Clock:  func() time.Time { return time.Now().Add(w.skewOf(name)) },
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -17,6 +17,8 @@
 	From uint64 `cbor:"f"`
 	// Wait is how long to wait for the first record, in milliseconds.
 	Wait int64 `cbor:"w"`
+	// List is the sum of the list of hosts that the sender has; 0 for none.
+	List uint64 `cbor:"l,omitempty"`
 }
 
 // TailResponse carries records and the state of the answering host.
@@ -34,6 +36,13 @@
 	// LogAge is the time since the host last heard from the log, in
 	// milliseconds.
 	LogAge int64 `cbor:"a"`
+	// ListAge is the time since the host last read the platform's list of hosts,
+	// in milliseconds; negative when it has not.
+	ListAge int64 `cbor:"z"`
+	// List is the sum of the hosts of the data centre in the list. Hosts holds
+	// them when the sender has others.
+	List  uint64          `cbor:"s,omitempty"`
+	Hosts []platform.Host `cbor:"h,omitempty"`
 }
 
 // SnapshotResponse carries a packed ledger.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -25,6 +25,12 @@
 	// maxConnections is the number of connections per server.
 	maxConnections = 64
 
+	// compressFrom is the size from which answers are compressed, in bytes. Most
+	// are far smaller, and compression would make them larger.
+	compressFrom = 2 << 10
+	// userAgent is short because it is sent with every call.
+	userAgent = "lr"
+
 	headerKind   = "Limpetrelay-Kind"
 	headerRemedy = "Limpetrelay-Remedy"
 )
@@ -70,8 +76,12 @@
 			}
 			return connect.NewResponse(res), nil
 		},
-		connect.WithCodec(codec{}), connect.WithReadMaxBytes(MaxMessage))
-	mux.Handle(procedure, h)
+		connect.WithCodec(codec{}), connect.WithReadMaxBytes(MaxMessage), connect.WithCompressMinBytes(compressFrom))
+	mux.Handle(procedure, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// Nobody reads the date of a control message.
+		w.Header()["Date"] = nil
+		h.ServeHTTP(w, r)
+	}))
 }
 
 // Call returns a function that calls procedure at base, for example
@@ -79,7 +89,9 @@
 func Call[Req, Res any](c *http.Client, base, procedure string) func(context.Context, *Req) (*Res, error) {
 	cl := connect.NewClient[Req, Res](c, base+procedure, connect.WithCodec(codec{}), connect.WithReadMaxBytes(MaxMessage))
 	return func(ctx context.Context, req *Req) (*Res, error) {
-		res, err := cl.CallUnary(ctx, connect.NewRequest(req))
+		r := connect.NewRequest(req)
+		r.Header().Set("User-Agent", userAgent)
+		res, err := cl.CallUnary(ctx, r)
 		if err != nil {
 			return nil, decodeError(err)
 		}
@@ -103,6 +115,7 @@
 	}
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         dial,
+		DisableCompression:  true,
 		MaxConnsPerHost:     maxConnections,
 		MaxIdleConnsPerHost: maxConnections,
 		IdleConnTimeout:     idleTimeout,
