--- a/entry/gang_test.go
+++ b/entry/gang_test.go
@@ -180,7 +180,7 @@
 		old := w.placerOf()
 		var once sync.Once
 		late := ""
-		w.before = func(from, to, operation, task string) {
+		w.before = func(from, to, operation, _ string) {
 			if operation != "start" || from != old {
 				return
 			}
