A data centre can be closed, or declared lost, by a patch

Cause: the jobs of a lost data centre waited for it for ever (CAPACITY.md said so); one or two a year are expected. Ruled out: other data centres deciding by silence (an hour's partition looks the same), lapsed leases (a data centre that is only cut off renews its own). Change: closeDataCentre and openDataCentre in patches; the ledger moves the waiting jobs to the first open data centre that can hold them, refuses places in a closed one, and by the operator's word "lost" requeues the placed ones elsewhere and ends once-only ones as unknown; a placer that hears of it stops what it has been relieved of. Found on the way: the soak's cancelWave and racePatches were in its list and did nothing. They now cancel every other open job and race patches at all hosts; the soak closes and opens data centres too.

--- a/cmd/limpetrelay/config.go
+++ b/cmd/limpetrelay/config.go
@@ -76,6 +76,9 @@
 	for n, cl := range cfg.Classes {
 		_, _ = fmt.Fprintf(w, "class %s: urgent %t, priority %d\n", n, cl.Urgent, cl.Priority)
 	}
+	for dc, cl := range cfg.Closed {
+		_, _ = fmt.Fprintf(w, "data centre %s: closed, lost %t\n", dc, cl.Lost)
+	}
 	_, _ = fmt.Fprintf(w, "policy: completion %g, fragmentation %g, gang age %s\n", cfg.Policy.CompletionWeight,
 		cfg.Policy.FragmentationWeight, time.Duration(max(cfg.Policy.GangAge, 0))*time.Millisecond)
 }
--- a/config/config.go
+++ b/config/config.go
@@ -18,6 +18,17 @@
 	Classes map[string]Class `cbor:"c" json:"classes"`
 	// Policy weighs the measures.
 	Policy Policy `cbor:"p" json:"policy"`
+	// Closed is keyed by data centre. Those that are not listed are open.
+	Closed map[string]Closing `cbor:"x,omitempty" json:"closed,omitempty"`
+}
+
+// Closing says how a data centre is closed. It takes no new jobs, and its waiting
+// jobs go to the first open data centre that can hold them.
+type Closing struct {
+	// Lost is the operator's word that nothing runs there any more and nothing
+	// will be heard from there. Running jobs then go elsewhere too, or end as
+	// unknown when they must not run twice.
+	Lost bool `cbor:"l,omitempty" json:"lost,omitempty"`
 }
 
 // Organisation is a tenant.
@@ -61,6 +72,7 @@
 		o.Guarantee = maps.Clone(o.Guarantee)
 		d.Organisations[n] = o
 	}
+	d.Closed = maps.Clone(c.Closed)
 	d.Classes = maps.Clone(c.Classes)
 	if d.Classes == nil {
 		d.Classes = map[string]Class{}
--- a/config/patch.go
+++ b/config/patch.go
@@ -41,6 +41,14 @@
 	SetClass           *NamedClass        `cbor:"sc,omitempty" json:"setClass,omitempty"`
 	RemoveClass        string             `cbor:"rc,omitempty" json:"removeClass,omitempty"`
 	SetPolicy          *Policy            `cbor:"sp,omitempty" json:"setPolicy,omitempty"`
+	CloseDataCentre    *NamedClosing      `cbor:"cd,omitempty" json:"closeDataCentre,omitempty"`
+	OpenDataCentre     string             `cbor:"od,omitempty" json:"openDataCentre,omitempty"`
+}
+
+// NamedClosing is a closing with the data centre's name.
+type NamedClosing struct {
+	Name string `cbor:"n" json:"name"`
+	Closing
 }
 
 // NamedOrganisation is an organisation with its name.
@@ -123,6 +131,7 @@
 	for _, is := range []bool{
 		ch.SetOrganisation != nil, ch.RemoveOrganisation != "",
 		ch.SetClass != nil, ch.RemoveClass != "", ch.SetPolicy != nil,
+		ch.CloseDataCentre != nil, ch.OpenDataCentre != "",
 	} {
 		if is {
 			set++
@@ -138,6 +147,8 @@
 		return ch.SetClass.validate()
 	case ch.SetPolicy != nil:
 		return ch.SetPolicy.validate()
+	case ch.CloseDataCentre != nil:
+		return job.CheckName("data centre", ch.CloseDataCentre.Name)
 	}
 	return nil
 }
@@ -207,6 +218,16 @@
 		delete(c.Classes, ch.RemoveClass)
 	case ch.SetPolicy != nil:
 		c.Policy = *ch.SetPolicy
+	case ch.CloseDataCentre != nil:
+		if c.Closed == nil {
+			c.Closed = map[string]Closing{}
+		}
+		c.Closed[ch.CloseDataCentre.Name] = ch.CloseDataCentre.Closing
+	case ch.OpenDataCentre != "":
+		if _, ok := c.Closed[ch.OpenDataCentre]; !ok {
+			return fault.Newf(fault.NotFound, "see `limpetrelay config show`", "data centre %q is not closed", ch.OpenDataCentre)
+		}
+		delete(c.Closed, ch.OpenDataCentre)
 	}
 	return nil
 }
--- a/dispatch/schedule.go
+++ b/dispatch/schedule.go
@@ -59,6 +59,9 @@
 		return
 	}
 	s.dirty, s.scheduledAt = false, s.now
+	if s.Ledger.Closed(s.DataCentre) != nil {
+		return
+	}
 	queue := s.candidates()
 	compacts := s.compacts()
 	if len(queue) == 0 && !compacts {
--- a/dispatch/tail.go
+++ b/dispatch/tail.go
@@ -74,11 +74,7 @@
 		s.breaks(fmt.Sprintf("the configuration went back from version %d to %d", version, s.Ledger.Config.Version))
 	}
 	s.Stuck = ""
-	for _, id := range sortedKeys(s.waits) {
-		if j := s.Ledger.Jobs[id]; j != nil && j.State == ledger.Finished {
-			s.answerWaits(id)
-		}
-	}
+	s.answerFinished()
 	s.stopLeading()
 	s.check()
 }
@@ -112,6 +108,8 @@
 	switch {
 	case r.Accept != nil:
 		s.dirty = true
+	case r.Patch != nil && v.Err == nil:
+		s.onPatched()
 	case r.Claim != nil:
 		s.onClaim(r, v)
 	case r.Place != nil:
--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -205,6 +205,17 @@
 			}
 		}
 	}
+	w.until(time.Minute, func() bool {
+		for _, n := range w.hostNames() {
+			if !w.host(n).View().Ready {
+				return false
+			}
+		}
+		return true
+	})
+	for _, dc := range []string{"a", "b"} {
+		w.setClosed(dc, false)
+	}
 	w.until(5*time.Minute, func() bool {
 		for _, n := range w.hostNames() {
 			if v := w.host(n).View(); !v.Ready || v.Queued+v.Placed > 0 {
--- a/entry/soak_test.go
+++ b/entry/soak_test.go
@@ -45,7 +45,7 @@
 	"cutDataCentre", "cutDataCentreOneWay", "cutHostFromLog", "cutHostFromWorker", "cutHosts",
 	"cutHostToLog", "cutLogToHost", "cutHostToWorker", "cutWorkerToHost", "cutHostsOneWay",
 	"loseHost", "jumpClock",
-	"rollHosts", "cancelWave", "racePatches",
+	"rollHosts", "cancelWave", "racePatches", "closeDataCentre",
 }
 
 const (
@@ -204,6 +204,16 @@
 		w.setSkew(host, time.Duration(rnd.Int64N(int64(2*mostSkew)))-mostSkew)
 	case "rollHosts":
 		go w.roll(ctx, hosts)
+	case "cancelWave":
+		go w.cancelWave(ctx, host)
+	case "racePatches":
+		go w.racePatches(s.Pick)
+	case "closeDataCentre":
+		go func() {
+			w.setClosed(dc, true)
+			retry.Pause(ctx, s.Long)
+			w.setClosed(dc, false)
+		}()
 	default:
 		w.injectLog(ctx, s, host, dc, worker)
 	}
--- a/ledger/configure.go
+++ b/ledger/configure.go
@@ -24,6 +24,10 @@
 		}
 	}
 	for _, ch := range p.Changes {
+		if c := ch.CloseDataCentre; c != nil && !slices.Contains(l.homes(), c.Name) {
+			return config.Config{}, fault.Newf(fault.NotFound, fmt.Sprintf("name one of %v", l.homes()),
+				"no worker of a data centre %q is known", c.Name)
+		}
 		if o := ch.RemoveOrganisation; o != "" && l.openJobs(o) > 0 {
 			return config.Config{}, fault.Newf(fault.Refused, "cancel them or wait for their end",
 				"organisation %s still has %d open jobs", o, l.openJobs(o))
@@ -51,6 +55,9 @@
 	for _, dc := range slices.Compact(dcs) {
 		l.reseat(dc)
 	}
+	for _, dc := range slices.Sorted(maps.Keys(next.Closed)) {
+		l.rehome(offset, dc, next.Closed[dc].Lost)
+	}
 	return Verdict{Version: next.Version}
 }
 
@@ -124,6 +131,12 @@
 			s += "removed class " + ch.RemoveClass
 		case ch.SetPolicy != nil:
 			s += "set policy"
+		case ch.CloseDataCentre != nil && ch.CloseDataCentre.Lost:
+			s += "closed data centre " + ch.CloseDataCentre.Name + " as lost"
+		case ch.CloseDataCentre != nil:
+			s += "closed data centre " + ch.CloseDataCentre.Name
+		case ch.OpenDataCentre != "":
+			s += "opened data centre " + ch.OpenDataCentre
 		}
 	}
 	return s
--- a/ledger/jobs.go
+++ b/ledger/jobs.go
@@ -18,6 +18,9 @@
 	if err := spec.Validate(); err != nil {
 		return err
 	}
+	if err := l.Closed(dc); err != nil {
+		return err
+	}
 	o, ok := l.Config.Organisations[spec.Organisation]
 	if !ok {
 		return fault.Newf(fault.NotFound, "ask an operator to create it with `limpetrelay config patch`",
@@ -138,6 +141,9 @@
 	if err != nil {
 		return err
 	}
+	if err := l.Closed(j.DataCentre); err != nil {
+		return err
+	}
 	if len(p.Members) != need.Members {
 		return refusePlace(j, "it places %d of %d members", len(p.Members), need.Members)
 	}
@@ -221,6 +227,7 @@
 		l.finish(offset, j, CancelledOutcome(j))
 	}
 	l.settle(j.DataCentre)
+	l.moveFromClosed(j)
 	return Verdict{Job: j, Ended: j.State == Finished}
 }
 
