--- a/entry/lost_test.go
+++ b/entry/lost_test.go
@@ -35,13 +35,13 @@
 		time.Sleep(time.Second)
 	}
 	require.Len(t, w.runningOn("bill"), 1)
-	require.Equal(t, 4, w.runningIn("b", "gang"))
+	require.Equal(t, 4, w.gangIn("b"))
 }
 
-// runningIn returns how many members of echo run in a data centre.
-func (w *world) runningIn(dc, echo string) int {
+// gangIn returns how many members of the gang run in a data centre.
+func (w *world) gangIn(dc string) int {
 	n := 0
-	for _, name := range w.runningOn(echo) {
+	for _, name := range w.runningOn("gang") {
 		if w.dataCentre(name) == dc {
 			n++
 		}
@@ -75,13 +75,13 @@
 				c.lose(w)
 				time.Sleep(20 * time.Second)
 				w.closeB(t, true)
-				require.True(t, w.until(30*time.Second, func() bool { return w.runningIn("a", "gang") == 4 }))
-				t.Logf("%d members run in the lost data centre", w.runningIn("b", "gang"))
+				require.True(t, w.until(30*time.Second, func() bool { return w.gangIn("a") == 4 }))
+				t.Logf("%d members run in the lost data centre", w.gangIn("b"))
 				w.cut("a", "b", false)
 				w.cut("b", "a", false)
 				time.Sleep(10 * time.Second)
-				require.Equal(t, 4, w.runningIn("a", "gang"))
-				require.Zero(t, w.runningIn("b", "gang"), "what was given up is stopped")
+				require.Equal(t, 4, w.gangIn("a"))
+				require.Zero(t, w.gangIn("b"), "what was given up is stopped")
 				for _, key := range []string{"gang", "waits"} {
 					s := gangOf(4, 60_000)
 					if key == "waits" {
