Stop nobody for an aged gang; keep one rack for the oldest

A trace by the hour: three reserved racks stood empty while their last jobs ran on, and those that gave way were placed, reclaimed and stopped again, 1,000 to 1,900 times an hour. Ruled out: the ejections, the moves (2 an hour by then). The reservation comes after a quarter of the bound, is chosen anew in the round in which it ends, and does not stand in the gang's way.

--- a/config/config.go
+++ b/config/config.go
@@ -56,8 +56,7 @@
 	CompletionWeight    float64 `cbor:"c" json:"completionWeight"`
 	FragmentationWeight float64 `cbor:"f" json:"fragmentationWeight"`
 	// GangAge is the wait, in milliseconds, that no gang should exceed; 0 means
-	// DefaultGangAge. After a part of it cells are reserved for a gang, and later
-	// borrowers are stopped for it.
+	// DefaultGangAge. After a part of it cells are reserved for the oldest gang.
 	GangAge int64 `cbor:"g,omitempty" json:"gangAge,omitempty"`
 }
 
--- a/dispatch/aged.go
+++ b/dispatch/aged.go
@@ -16,16 +16,14 @@
 	ownAge = 1.0 / 12
 	// reserveAge is the part after which cells are reserved for a gang as they
 	// become free.
-	reserveAge = 1.0 / 8
-	// stopAge is the part after which borrowers are stopped for a gang.
-	stopAge = 1.0 / 2
+	reserveAge = 1.0 / 4
 	// keepAge is the part for which cells are kept before they are chosen anew.
 	keepAge = 1.0 / 2
 )
 
-// mostReserved bounds the gangs of a data centre that need adjacent cells and
-// have them reserved.
-const mostReserved = 3
+// mostReserved bounds the gangs of a data centre that need adjacent cells and have
+// them reserved. Reserved cells stand empty until the last one is free.
+const mostReserved = 1
 
 // aged reports whether c is a gang that has waited for the given part of the age
 // bound.
@@ -33,21 +31,15 @@
 	return c.Need.Members > 1 && float64(c.Waited) > part*float64(s.gangAge())
 }
 
-// placeAged keeps cells for a gang that has waited long, and stops others for it
-// when its age bound comes near. It reports whether the gang is being placed.
+// placeAged keeps cells for a gang that has waited long. It reports whether the
+// gang is being placed.
 func (s *State) placeAged(r *planning, c *policy.Candidate, j *ledger.Job, h *hold) bool {
-	switch {
-	case h != nil && !h.stops && r.oldest[c.Job] && s.aged(c, stopAge):
-		s.stopFor(c, h)
-	case h != nil:
-		if s.placeHeld(r, j, h) {
-			return true
-		}
-		if s.holds[c.Job] == nil {
-			// Others must not use the cells before they are chosen anew.
-			s.holdAged(r, c)
-		}
-	case r.oldest[c.Job]:
+	if h != nil && s.placeHeld(r, j, h) {
+		return true
+	}
+	if s.holds[c.Job] == nil && r.oldest[c.Job] {
+		// In the same round, so that others do not use the cells of an old hold
+		// before they are chosen anew.
 		s.holdAged(r, c)
 	}
 	return false
@@ -108,14 +100,14 @@
 	}
 }
 
-// holdAged reserves cells for an aged gang: those whose jobs that do not give way
-// are expected to have ended first. Nothing is stopped yet.
+// holdAged reserves cells for an aged gang: those whose jobs are expected to have
+// ended first. Nobody is stopped for it.
 func (s *State) holdAged(r *planning, c *policy.Candidate) {
 	all := r.reclaimable.Clone()
 	for i := range all.Nodes {
 		all.Nodes[i].Used &^= r.plan.Fixed(all.Nodes[i].Name)
 	}
-	cells, ok := all.Place(c.Need, s.soonest(r, c))
+	cells, ok := all.Place(c.Need, s.soonest(r))
 	if !ok {
 		return
 	}
@@ -123,14 +115,13 @@
 	r.use(cells)
 }
 
-// soonest ranks nodes by when the jobs that do not give way to c are expected to
-// have ended.
-func (s *State) soonest(r *planning, c *policy.Candidate) rack.Rank {
+// soonest ranks nodes by when their jobs are expected to have ended.
+func (s *State) soonest(r *planning) rack.Rank {
 	until := map[string]int64{}
 	for _, id := range sortedKeys(s.drives) {
 		d := s.drives[id]
 		j := s.Ledger.Jobs[id]
-		if j == nil || s.givesWay(j, c) {
+		if j == nil {
 			continue
 		}
 		left := s.rest(j, d) / 1000
@@ -145,32 +136,3 @@
 		return int(min(until[n.Name], 1<<24))*rack.NumLevels + int(broken)
 	}
 }
-
-// stopFor stops what gives way on the cells held for a gang that nears its age
-// bound.
-func (s *State) stopFor(c *policy.Candidate, h *hold) {
-	h.stops, h.since, s.dirty = true, s.now, true
-	for _, id := range sortedKeys(s.drives) {
-		j := s.Ledger.Jobs[id]
-		if j == nil || !s.givesWay(j, c) || !overlaps(j.Members, h.cells) {
-			continue
-		}
-		s.observe(j.Spec.Organisation, j.Spec.Class, "stoppedForAged", 1)
-		s.stopDrive(s.drives[id], "a gang of "+c.Organisation+" has waited for long")
-	}
-}
-
-// givesWay reports whether j may be stopped for the aged gang c: a smaller
-// repeatable job that borrows, or one of the same organisation that keeps its
-// progress.
-func (s *State) givesWay(j *ledger.Job, c *policy.Candidate) bool {
-	if j.Spec.Once || slotsOf(j.Members) >= c.Need.Members*c.Need.Level.Slots() {
-		return false
-	}
-	return !j.Guaranteed || j.Spec.Organisation == c.Organisation && s.keeps(j)
-}
-
-// keeps reports whether jobs like j keep their progress when they are stopped.
-func (s *State) keeps(j *ledger.Job) bool {
-	return s.Ledger.Learned[ledger.LearnedKey(j.Spec.Organisation, j.Spec.Class)].Keeps()
-}
--- a/dispatch/compact.go
+++ b/dispatch/compact.go
@@ -104,6 +104,11 @@
 		s.keeps(j)
 }
 
+// keeps reports whether jobs like j keep their progress when they are stopped.
+func (s *State) keeps(j *ledger.Job) bool {
+	return s.Ledger.Learned[ledger.LearnedKey(j.Spec.Organisation, j.Spec.Class)].Keeps()
+}
+
 // move holds cells for j in racks that come before e and stops it. It reports
 // whether there were any.
 func (s *State) move(r *planning, j *ledger.Job, e *emptying) bool {
--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -18,8 +18,6 @@
 	// aged is set for the reservation of an aged gang, which waits for its
 	// cells without stopping anyone.
 	aged bool
-	// stops is set for an aged hold whose borrowers were stopped.
-	stops bool
 	// moving is set while the job that the cells are for still runs elsewhere.
 	moving bool
 }
--- a/workload/result.go
+++ b/workload/result.go
@@ -42,9 +42,8 @@
 	Utilisation float64
 	// Lost is the work lost by stops, in slot-hours.
 	Lost float64
-	// Moved counts the jobs that were moved to make a rack whole, and GaveWay
-	// those that were stopped for an aged gang.
-	Moved, GaveWay int
+	// Moved counts the jobs that were moved to make a rack whole.
+	Moved int
 	// Outcomes counts the jobs by result.
 	Outcomes map[job.Result]int
 	// Open is the number of jobs without outcome at the end.
@@ -100,7 +99,7 @@
 	res := Result{
 		Classes: map[string]ClassResult{}, Organisations: map[string]ClassResult{},
 		Outcomes: map[job.Result]int{}, Lost: float64(r.lost) / 3_600_000, Events: r.events,
-		Moved: r.moved, GaveWay: r.gaveWay,
+		Moved: r.moved,
 	}
 	byClass, byOrg := map[string][]*jobRun{}, map[string][]*jobRun{}
 	var largest []*jobRun
@@ -170,7 +169,7 @@
 	}
 	_ = t.Flush()
 	_, _ = fmt.Fprintf(w, "64-gang queue p50 %.1f s max %.1f s; fragmentation four %.3f worker %.3f rack %.3f; largest block %.3f; "+
-		"utilisation %.3f; lost %.1f slot-hours; %d moved, %d gave way; outcomes %v, %d open; %d events\n",
+		"utilisation %.3f; lost %.1f slot-hours; %d moved; outcomes %v, %d open; %d events\n",
 		r.LargestGang.P50, r.LargestGang.Max, r.Fragmentation[rack.LevelFour], r.Fragmentation[rack.LevelWorker],
-		r.Fragmentation[rack.LevelRack], r.LargestBlock, r.Utilisation, r.Lost, r.Moved, r.GaveWay, r.Outcomes, r.Open, r.Events)
+		r.Fragmentation[rack.LevelRack], r.LargestBlock, r.Utilisation, r.Lost, r.Moved, r.Outcomes, r.Open, r.Events)
 }
--- a/workload/run.go
+++ b/workload/run.go
@@ -64,11 +64,10 @@
 	busy int
 	// lost is the work lost by stops, in slot-milliseconds.
 	lost int64
-	// moved counts the jobs that were moved to make a rack whole, and gaveWay
-	// those that were stopped for an aged gang.
-	moved, gaveWay int
-	events         int
-	sampler        sampler
+	// moved counts the jobs that were moved to make a rack whole.
+	moved   int
+	events  int
+	sampler sampler
 }
 
 // timer is a function to call at a time.
@@ -244,23 +243,13 @@
 		r.member(*f.Member)
 	case f.Reply != nil:
 		r.reply(f.Reply)
-	case f.Observe != nil:
-		r.observe(f.Observe)
+	case f.Observe != nil && f.Observe.Name == "moved":
+		r.moved++
 	case f.Broken != nil:
 		panic(f.Broken.Message)
 	}
 }
 
-// observe counts stops.
-func (r *runner) observe(o *dispatch.Observation) {
-	switch o.Name {
-	case "moved":
-		r.moved++
-	case "stoppedForAged":
-		r.gaveWay++
-	}
-}
-
 // jobOf returns the run of a recorded job.
 func (r *runner) jobOf(id string) *jobRun { return r.jobs[r.s.Ledger.Jobs[id].Spec.Key] }
 
