--- a/trial/capacity_test.go
+++ b/trial/capacity_test.go
@@ -101,6 +101,10 @@
 	p1, f1 := c.usage(placer), c.usage(follower)
 	report(t, n, "placer", p0, p1)
 	report(t, n, "follower", f0, f1)
+	began = time.Now()
+	c.addHost("e3")
+	require.GreaterOrEqual(t, c.placed("e3"), n/2, "a ready host has the whole state")
+	t.Logf("workers %d: a fresh host is ready with the state %.2f s after its start", n, time.Since(began).Seconds())
 }
 
 // report logs the use of a process between two readings.
