Random records close and open the data centre too

Cause: closing was tested on chosen histories only. Change: the state machine closes, as lost or not, and opens; a fuzz seed.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -78,6 +78,7 @@
 func FuzzParsePatch(f *testing.F) {
 	f.Add([]byte(`{"base":0,"author":"op","changes":[{"setOrganisation":{"name":"o","guarantee":{"a":{"rack":1}}}}]}`))
 	f.Add([]byte(`{"base":18446744073709551615,"author":"op","changes":[{"setPolicy":{"completionWeight":1e308}}]}`))
+	f.Add([]byte(`{"base":3,"author":"op","changes":[{"closeDataCentre":{"name":"a","lost":true}},{"openDataCentre":"a"}]}`))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		p, err := config.ParsePatch(bytes.NewReader(b))
 		if err != nil {
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -119,6 +119,17 @@
 	}
 }
 
+// closeOrOpen closes the data centre, as lost or not, or opens it.
+func (m *machine) closeOrOpen(rt *rapid.T) {
+	ch := config.Change{OpenDataCentre: dc}
+	if rapid.IntRange(0, 3).Draw(rt, "close") == 0 {
+		ch = config.Change{CloseDataCentre: &config.NamedClosing{
+			Name: dc, Closing: config.Closing{Lost: rapid.Bool().Draw(rt, "lost")},
+		}}
+	}
+	m.write(rt, "e1", record.Record{Patch: &config.Patch{Base: m.l.Config.Version, Author: "op", Changes: []config.Change{ch}}})
+}
+
 func (m *machine) accept(rt *rapid.T) {
 	m.jobs++
 	s := job.Spec{
@@ -215,7 +226,7 @@
 		rt.Repeat(map[string]func(*rapid.T){
 			"claim": m.claim, "worker": m.worker, "patch": m.patch, "accept": m.accept, "accept2": m.accept,
 			"place": m.place, "place2": m.place, "place3": m.place, "requeue": m.requeue, "end": m.end,
-			"cancel": m.cancel, "restore": m.restore,
+			"cancel": m.cancel, "restore": m.restore, "closeOrOpen": m.closeOrOpen,
 		})
 	})
 }
