The ledger asserts that only placed jobs hold cells

Cause: with the freeing of a lost attempt's cells taken out, the random records stayed green. Change: an invariant, checked in production as the others are. Guards out: freeing at a loss and at a requeue, both red ('is queued and holds cells').

--- a/ledger/check.go
+++ b/ledger/check.go
@@ -46,6 +46,7 @@
 			held[m.Worker] |= m.Mask
 		}
 	}
+	say(j.State == Placed || len(j.Members) == 0, "job %s is %s and holds cells", j.ID, j.State)
 	say(j.State != Queued || !j.Spec.Once || !j.Started, "once-only job %s waits although it has started", j.ID)
 	say(j.Outcome.Result != job.NotRun || !j.Started, "job %s is told as not run and has started", j.ID)
 }
