--- a/dispatch/drive.go
+++ b/dispatch/drive.go
@@ -2,10 +2,7 @@
 
 import (
 	"fmt"
-	"strconv"
-	"strings"
 
-	"github.com/limpetrelay/limpetrelay/fault"
 	"github.com/limpetrelay/limpetrelay/ledger"
 	"github.com/limpetrelay/limpetrelay/record"
 	"github.com/limpetrelay/limpetrelay/upstream"
@@ -86,34 +83,6 @@
 	lapsed bool
 }
 
-// TaskName returns the identity of a member's task.
-func TaskName(id string, attempt, index int) string {
-	return fmt.Sprintf("%s/%d/%d", id, attempt, index)
-}
-
-// parseTask is the inverse of TaskName, without the member.
-func parseTask(task string) (id string, attempt int, ok bool) {
-	rest, _, ok := cutLast(task)
-	if !ok {
-		return "", 0, false
-	}
-	id, number, ok := cutLast(rest)
-	if !ok {
-		return "", 0, false
-	}
-	attempt, err := strconv.Atoi(number)
-	return id, attempt, err == nil
-}
-
-// cutLast cuts s around its last slash.
-func cutLast(s string) (before, after string, ok bool) {
-	i := strings.LastIndexByte(s, '/')
-	if i < 0 {
-		return s, "", false
-	}
-	return s[:i], s[i+1:], true
-}
-
 // newDrive returns the drive of the placed job j.
 func newDrive(j *ledger.Job, p phase, now int64) *drive {
 	d := &drive{job: j.ID, attempt: j.Attempt, phase: p, since: now, placedAt: now}
@@ -431,60 +400,6 @@
 	}
 }
 
-// call sends a call about member i unless one was sent lately.
-func (s *State) call(d *drive, i int, op Operation, o upstream.Order) {
-	m := &d.members[i]
-	if m.calledAt != 0 && s.now-m.calledAt < callAgain {
-		return
-	}
-	m.calledAt = max(s.now, 1)
-	c := MemberCall{
-		Operation: op, Job: d.job, Attempt: d.attempt, Index: i,
-		Worker: m.worker, Address: s.address(m.worker), Order: o,
-	}
-	if op == OpStop {
-		c.Grace = s.StopGrace
-	}
-	s.emit(Effect{Member: &c})
-}
-
-// onMember takes the result of a call about a member.
-func (s *State) onMember(e *MemberDone) {
-	d := s.drives[e.Job]
-	if d == nil || d.attempt != e.Attempt || e.Index >= len(d.members) {
-		return
-	}
-	m := &d.members[e.Index]
-	s.onAnswer(s.view(m.worker), e)
-	if m.ended() {
-		return
-	}
-	if e.Err == nil {
-		r := e.Report
-		m.report = &r
-		s.step(d)
-		return
-	}
-	if !fault.NothingDone(e.Err) || fault.KindOf(e.Err) == fault.Unavailable {
-		return
-	}
-	if e.Operation != OpStop && d.phase != phaseStop {
-		s.stopDrive(d, fault.As(e.Err).Message)
-	}
-}
-
-// onAnswer notes when a worker has answered a call, and when it refused a
-// reservation.
-func (s *State) onAnswer(v *workerView, e *MemberDone) {
-	refused := fault.KindOf(e.Err) == fault.Refused
-	if e.Err == nil || refused {
-		v.answered = s.now
-	}
-	if refused && e.Operation == OpReserve {
-		v.refusedAt = s.now
-	}
-}
-
 // ended reports whether an arbiter has said that the member does not run.
 func (m *driven) ended() bool {
 	return m.lapsed || m.report != nil && m.report.State == upstream.Ended
