--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/limpetrelay/limpetrelay/dispatch"
 	"github.com/limpetrelay/limpetrelay/fault"
+	"github.com/limpetrelay/limpetrelay/internal/depot/logbook"
 	"github.com/limpetrelay/limpetrelay/job"
 	"github.com/limpetrelay/limpetrelay/peer"
-	"github.com/limpetrelay/limpetrelay/platform"
 	"github.com/limpetrelay/limpetrelay/retry"
 	"github.com/limpetrelay/limpetrelay/standin"
 	"github.com/limpetrelay/limpetrelay/upstream"
@@ -78,7 +78,7 @@
 		}
 		w.dcOf[name] = dc
 		w.mu.Unlock()
-		w.dir.Set(platform.Host{Name: name, Kind: platform.KindWorker, DataCentre: dc, Address: name})
+		w.dir.Set(logbook.Host{Name: name, Kind: logbook.KindWorker, DataCentre: dc, Address: name})
 	}
 }
 
@@ -99,7 +99,7 @@
 	w.hosts[name] = r
 	w.dcOf[name] = dc
 	w.mu.Unlock()
-	w.dir.Set(platform.Host{Name: name, Kind: platform.KindEntry, DataCentre: dc, Address: name})
+	w.dir.Set(logbook.Host{Name: name, Kind: logbook.KindEntry, DataCentre: dc, Address: name})
 	go func() {
 		defer close(r.ended)
 		_ = h.Run(ctx)
@@ -273,19 +273,19 @@
 	const store = "store"
 	w.dcOf[store] = w.home
 	return Seams{
-		Log: platform.Log{
+		Log: logbook.Log{
 			Append: func(ctx context.Context, stream string, data []byte) (uint64, error) {
 				return over(ctx, w, r, name, store, 2*time.Second, func(ctx context.Context) (uint64, error) {
 					return w.log.Append(ctx, stream, data)
 				})
 			},
-			Read: func(ctx context.Context, stream string, from uint64, wait time.Duration) (platform.Page, error) {
-				return over(ctx, w, r, name, store, wait+2*time.Second, func(ctx context.Context) (platform.Page, error) {
+			Read: func(ctx context.Context, stream string, from uint64, wait time.Duration) (logbook.Page, error) {
+				return over(ctx, w, r, name, store, wait+2*time.Second, func(ctx context.Context) (logbook.Page, error) {
 					return w.log.Read(ctx, stream, from, wait)
 				})
 			},
 		},
-		Directory: platform.Directory{List: func(ctx context.Context) ([]platform.Host, error) {
+		Directory: logbook.Directory{List: func(ctx context.Context) ([]logbook.Host, error) {
 			w.mu.Lock()
 			w.lists[name]++
 			w.mu.Unlock()
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -31,6 +31,8 @@
 	Refused Kind = "refused"
 	// Draining means that the process is shutting down. Nothing was done.
 	Draining Kind = "draining"
+	// Fenced means that a later holder of the role has taken over. Nothing was done.
+	Fenced Kind = "fenced"
 	// Gap means that records were dropped by retention before they were read.
 	Gap Kind = "gap"
 	// Unknown means that the call may or may not have taken effect.
@@ -112,7 +114,7 @@
 func NothingDone(err error) bool {
 	switch KindOf(err) {
 	case Invalid, TooLarge, NotFound, Conflict, KeyReused, Infeasible,
-		Overloaded, Unavailable, Refused, Draining:
+		Overloaded, Unavailable, Refused, Draining, Fenced:
 		return true
 	default:
 		return false
--- /dev/null
+++ b/internal/depot/logbook/doc.go
@@ -0,0 +1,10 @@
+// Package logbook is the seam to the platform's services: the append-only log
+// and the list of hosts.
+//
+// Log and Directory are structs of functions. NewClient fills them with calls
+// over the network, and Register serves any implementation, so that tests pass
+// functions of a fake instead.
+//
+// An append that fails with fault.Unavailable was not applied. One that fails
+// with fault.Unknown may have been applied, and may even be applied later.
+package logbook
--- a/platform/platform.go
+++ b/internal/depot/logbook/logbook.go
@@ -1,4 +1,4 @@
-package platform
+package logbook
 
 import (
 	"context"
--- /dev/null
+++ b/internal/desk/clerk/follow.go
@@ -0,0 +1,210 @@
+package clerk
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/limpetrelay/limpetrelay/fault"
+	"github.com/limpetrelay/limpetrelay/internal/depot/shelf"
+	"github.com/limpetrelay/limpetrelay/internal/yard/foreman"
+	"github.com/limpetrelay/limpetrelay/retry"
+)
+
+const (
+	// followWait is how long a read waits for news. It bounds the age of the proofs
+	// that the reads give.
+	followWait = 900 * time.Millisecond
+	// followPause is the pause after a failed read.
+	followPause = 150 * time.Millisecond
+	// newestTimeout bounds the reading of one part of the newest records.
+	newestTimeout = 2 * time.Second
+)
+
+// follower reads a partition: the newest record of each key, then what comes after.
+type follower struct {
+	*Host
+	topic string
+	// wait is how long a read may wait for news, and gap the least time between reads.
+	wait, gap time.Duration
+	// reset is called before the newest records are taken, take with each record and
+	// caughtUp when the end was reached by a read that was sent at a time. after is
+	// called once the newest records have been taken.
+	reset    func()
+	take     func(shelf.Entry)
+	after    func()
+	caughtUp func(sent int64)
+}
+
+// follow runs until ctx ends.
+func (f *follower) follow(ctx context.Context) {
+	var next uint64
+	loaded := false
+	for ctx.Err() == nil {
+		var err error
+		if !loaded {
+			if next, err = f.load(ctx); err == nil {
+				loaded = true
+			}
+		} else {
+			next, err = f.read(ctx, next)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			f.down.ok(f.topic)
+			retry.Pause(ctx, f.gap)
+			continue
+		}
+		if fault.KindOf(err) == fault.Gap {
+			f.Logger.Warn("records were dropped before they were read", slog.String("topic", f.topic), slog.Uint64("next", next))
+			loaded = false
+			continue
+		}
+		f.down.fail(f.topic, err)
+		retry.Pause(ctx, followPause)
+	}
+}
+
+// load takes the newest records and returns where to go on reading. The parts are
+// not of one moment, so that everything from the first part's end on is read again.
+func (f *follower) load(ctx context.Context) (uint64, error) {
+	sent := f.now()
+	var all []shelf.Entry
+	var end uint64
+	after := ""
+	for first := true; ; first = false {
+		part, cancel := context.WithTimeout(ctx, newestTimeout)
+		asked := f.now()
+		n, err := f.Store.Newest(part, f.topic, after)
+		cancel()
+		if err != nil {
+			return 0, err
+		}
+		f.roundTrip.Store(f.now() - asked)
+		if first {
+			end = n.End
+		}
+		all = append(all, n.Entries...)
+		if !n.More || len(n.Entries) == 0 {
+			break
+		}
+		after = n.Entries[len(n.Entries)-1].Key
+	}
+	if f.reset != nil {
+		f.reset()
+	}
+	for _, e := range all {
+		f.take(e)
+	}
+	f.Logger.Info("newest records read", slog.String("topic", f.topic), slog.Int("records", len(all)),
+		slog.Uint64("end", end), slog.Int64("tookMs", f.now()-sent))
+	if f.after != nil {
+		f.after()
+	}
+	return end, nil
+}
+
+// read takes the records from next on and returns where to go on.
+func (f *follower) read(ctx context.Context, next uint64) (uint64, error) {
+	sent := f.now()
+	p, err := f.Store.Read(ctx, f.topic, next, f.wait)
+	if err != nil {
+		return next, err
+	}
+	for _, e := range p.Entries {
+		f.take(e)
+	}
+	next += uint64(len(p.Entries))
+	if next >= p.End {
+		f.caughtUp(sent)
+	}
+	return next, nil
+}
+
+// followConfiguration keeps the configuration up to date.
+func (h *Host) followConfiguration(ctx context.Context) {
+	f := &follower{
+		Host: h, topic: h.Topics.Configuration, wait: followWait,
+		take:     h.takeConfiguration,
+		caughtUp: func(sent int64) { h.configProof.Store(sent) },
+	}
+	f.follow(ctx)
+}
+
+// takeConfiguration puts a version in force. Versions never go back.
+func (h *Host) takeConfiguration(e shelf.Entry) {
+	if e.Key != h.Topics.ConfigurationKey || len(e.Value) == 0 {
+		return
+	}
+	c, err := h.DecodeConfiguration(e.Value)
+	if err != nil {
+		h.Logger.Error("configuration cannot be read", slog.Uint64("offset", e.Offset), slog.String("error", err.Error()))
+		return
+	}
+	old := h.config.Load()
+	if old != nil && c.Version <= old.Version {
+		return
+	}
+	h.config.Store(c)
+	h.Metrics.Gauge("configurationVersion", float64(c.Version))
+	h.Logger.Info("configuration in force", slog.Uint64("version", c.Version), slog.Uint64("offset", e.Offset),
+		slog.Int("routes", len(c.Routes)), slog.Int("organisations", len(c.Organisations)), slog.Int("keys", len(c.Keys)))
+	h.tell(foreman.Event{Configured: c})
+}
+
+// followJobs keeps the book up to date.
+func (h *Host) followJobs(ctx context.Context) {
+	f := &follower{
+		Host: h, topic: h.Topics.Jobs, wait: followWait,
+		reset: func() {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.book.Reset()
+		},
+		take: h.takeJob,
+		after: func() {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.loaded, h.claimSeen = true, h.now()
+		},
+		caughtUp: func(sent int64) { h.jobsProof.Store(sent) },
+	}
+	f.follow(ctx)
+}
+
+// takeJob applies a record of the book and tells the coordinator.
+func (h *Host) takeJob(e shelf.Entry) {
+	h.mu.Lock()
+	c, err := h.book.Apply(e.Offset, e.Record)
+	if e.Offset >= h.book.Next {
+		h.book.Next = e.Offset + 1
+	}
+	if c.Claimed {
+		h.claimSeen = h.now()
+	}
+	var ev foreman.Event
+	feed := h.feed
+	if j := h.book.Jobs[c.Job]; feed != nil && c.Job != "" && j != nil && j.Spec != nil {
+		ev.Job = &foreman.JobChanged{Spec: j.Spec, Cancelled: j.Cancelled}
+	}
+	h.mu.Unlock()
+	if err != nil {
+		h.Logger.Error("record cannot be read", slog.Uint64("offset", e.Offset), slog.String("error", err.Error()))
+		return
+	}
+	if ev.Job != nil {
+		feed(ev)
+	}
+}
+
+// tell hands an event to this host's coordinator, if there is one.
+func (h *Host) tell(e foreman.Event) {
+	h.mu.Lock()
+	feed := h.feed
+	h.mu.Unlock()
+	if feed != nil {
+		feed(e)
+	}
+}
--- /dev/null
+++ b/internal/desk/setup/setup.go
@@ -0,0 +1,64 @@
+// Package setup holds the settings of one entry host on the users' platform.
+package setup
+
+// Settings configures a host. Times are in milliseconds. They come from the
+// platform's settings file.
+type Settings struct {
+	// Host, DataCentre and Region say which host this is and where.
+	Host, DataCentre, Region string
+	// CallersAddress, ReadyAddress and MetricsAddress are where to listen. MetricsAddress may be empty.
+	CallersAddress, ReadyAddress, MetricsAddress string
+	// StoreAddress is the address of the platform's store.
+	StoreAddress string
+	// AdviceAddress and MachinesAddress are the addresses of services that need not exist.
+	AdviceAddress, MachinesAddress string
+	// Heartbeat is the time between a worker's reports.
+	Heartbeat int64
+	// CoreShare is the part of a processor core that the host has.
+	CoreShare float64
+	MemoryMB  int64
+	// MaxLease is the longest lease that a worker grants.
+	MaxLease int64
+	// GangWait is how long the first member of a gang waits for the others.
+	GangWait int64
+	// StopTime is the longest time that a stop takes.
+	StopTime int64
+	// Revocation is the time after which a withdrawn key must not work anywhere.
+	Revocation int64
+	// DrainTime is the least time between a worker's notice and its end.
+	DrainTime int64
+	// Grace is the time between the signals that ask for the end and force it.
+	Grace int64
+	// Early is by how much an occurrence may start before it is due.
+	Early int64
+	// Kept is how long the state of an ended job is told.
+	Kept int64
+	// Reclaim is the time in which guaranteed jobs must start.
+	Reclaim int64
+	// Checkpoint is the work between two checkpoints, and Restore the time to
+	// resume from one.
+	Checkpoint, Restore int64
+	// FarFactor is how much slower a task is away from its data or its gang.
+	FarFactor float64
+	// CallBytes bounds one append to the store.
+	CallBytes int64
+}
+
+// NeedsRestart returns the names of the fields that differ from old and take
+// effect only when the process starts again.
+func (s *Settings) NeedsRestart(old *Settings) []string {
+	var names []string
+	for _, f := range []struct {
+		name     string
+		new, old any
+	}{
+		{"host", s.Host, old.Host}, {"dataCentre", s.DataCentre, old.DataCentre}, {"callers", s.CallersAddress, old.CallersAddress},
+		{"ready", s.ReadyAddress, old.ReadyAddress}, {"metrics", s.MetricsAddress, old.MetricsAddress}, {"store", s.StoreAddress, old.StoreAddress},
+		{"advice", s.AdviceAddress, old.AdviceAddress}, {"memoryMB", s.MemoryMB, old.MemoryMB},
+	} {
+		if f.new != f.old {
+			names = append(names, f.name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/yard/book/book.go
@@ -0,0 +1,161 @@
+package book
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/limpetrelay/limpetrelay/internal/yard/order"
+	"github.com/limpetrelay/limpetrelay/wire"
+)
+
+// Job is what the records tell of one job.
+type Job struct {
+	// Spec is nil until the acceptance has been read.
+	Spec *order.Spec
+	// Progress is nil until the coordinator has written any.
+	Progress *order.Progress
+	// Cancelled is set once a cancellation has been accepted.
+	Cancelled bool
+
+	// specAt, progressAt and cancelAt are one more than the records' offsets.
+	specAt, progressAt, cancelAt uint64
+}
+
+// State returns what a caller may be told.
+func (j *Job) State() order.State {
+	switch {
+	case j.Progress != nil && j.Progress.State.Ended():
+		return j.Progress.State
+	case j.Cancelled:
+		return order.Cancelled
+	case j.Progress != nil && j.Progress.Begun:
+		return order.Running
+	}
+	return order.Queued
+}
+
+// Change tells what a record changed.
+type Change struct {
+	// Job is the ID of the job that changed; empty for a claim.
+	Job string
+	// Claimed is set for a claim, a pulse or a resignation.
+	Claimed bool
+}
+
+// Book is the replicated state. The zero value is empty and ready. It must not
+// be used by two goroutines at once.
+type Book struct {
+	// Jobs is by ID and has only jobs that were accepted or cancelled.
+	Jobs map[string]*Job
+	// Claim is the newest claim, and Pulses the number of its pulses read.
+	Claim  Claim
+	Pulses uint64
+	// Next is the offset of the next record to apply.
+	Next uint64
+
+	claimAt uint64
+}
+
+// Reset forgets everything, before the newest records are read again.
+func (b *Book) Reset() { *b = Book{} }
+
+// Apply takes the record at an offset. Records may come again and, while the
+// newest ones are read, out of order; for each key the highest offset counts. A
+// record that cannot be read changes nothing and is an error.
+func (b *Book) Apply(offset uint64, r Record) (Change, error) {
+	if r.Key == "" {
+		return Change{}, errors.Newf("record %d has no key", offset)
+	}
+	at := offset + 1
+	kind, id := r.Key[0], r.Key[1:]
+	if kind == kindClaim {
+		return b.claim(at, r.Value)
+	}
+	j := b.job(id)
+	defer b.dropEmpty(id, j)
+	switch kind {
+	case kindAccepted:
+		if at <= j.specAt {
+			return Change{}, nil
+		}
+		var s *order.Spec
+		if err := decode(r.Value, &s); err != nil {
+			return Change{}, errors.Wrapf(err, "acceptance of %q at %d", id, offset)
+		}
+		// The first acceptance stays: a repeat is the same request.
+		if j.Spec == nil || s == nil {
+			j.Spec = s
+		}
+		j.specAt = at
+	case kindCancelled:
+		if at <= j.cancelAt {
+			return Change{}, nil
+		}
+		j.Cancelled, j.cancelAt = len(r.Value) > 0, at
+	case kindProgress:
+		if at <= j.progressAt {
+			return Change{}, nil
+		}
+		var p *order.Progress
+		if err := decode(r.Value, &p); err != nil {
+			return Change{}, errors.Wrapf(err, "progress of %q at %d", id, offset)
+		}
+		j.Progress, j.progressAt = p, at
+	default:
+		return Change{}, errors.Newf("record %d has the unknown kind %q", offset, kind)
+	}
+	return Change{Job: id}, nil
+}
+
+// claim takes a claim, a pulse or a resignation.
+func (b *Book) claim(at uint64, value []byte) (Change, error) {
+	if at <= b.claimAt {
+		return Change{}, nil
+	}
+	var c *Claim
+	if err := decode(value, &c); err != nil {
+		return Change{}, errors.Wrapf(err, "claim at %d", at-1)
+	}
+	if c == nil {
+		return Change{}, errors.Newf("claim at %d is empty", at-1)
+	}
+	c.Term = at
+	if c.Of != 0 {
+		c.Term = c.Of
+	}
+	b.Claim, b.claimAt = *c, at
+	b.Pulses++
+	return Change{Claimed: true}, nil
+}
+
+// job returns the job with an ID, which may be new.
+func (b *Book) job(id string) *Job {
+	j := b.Jobs[id]
+	if j == nil {
+		if b.Jobs == nil {
+			b.Jobs = make(map[string]*Job)
+		}
+		j = &Job{}
+		b.Jobs[id] = j
+	}
+	return j
+}
+
+// dropEmpty forgets a job of which no record is left.
+func (b *Book) dropEmpty(id string, j *Job) {
+	if j.Spec == nil && j.Progress == nil && !j.Cancelled {
+		delete(b.Jobs, id)
+	}
+}
+
+// decode reads a value; an empty one leaves the target nil.
+func decode[T any](b []byte, v **T) error {
+	if len(b) == 0 {
+		return nil
+	}
+	t := new(T)
+	if err := wire.Decode(b, t); err != nil {
+		return err
+	}
+	*v = t
+	return nil
+}
--- /dev/null
+++ b/internal/yard/book/record.go
@@ -0,0 +1,64 @@
+package book
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/limpetrelay/limpetrelay/internal/yard/order"
+	"github.com/limpetrelay/limpetrelay/wire"
+)
+
+// Record is one record of the partition. A record without a value drops its key.
+type Record struct {
+	Key   string
+	Value []byte
+}
+
+// The first byte of a key tells the kind of the record; the rest is the job's ID.
+const (
+	kindAccepted  = 'a'
+	kindCancelled = 'c'
+	kindProgress  = 's'
+	kindClaim     = 'l'
+)
+
+// Claim is the coordinator's word that it holds the role.
+type Claim struct {
+	// Term is one more than the record's offset, and zero for nobody.
+	Term uint64 `cbor:"-"`
+	// Host and Incarnation name the process.
+	Host        string `cbor:"1,keyasint"`
+	Incarnation string `cbor:"2,keyasint"`
+	// Pulse counts the records by which the coordinator shows that it lives.
+	Pulse uint64 `cbor:"3,keyasint,omitempty"`
+	// Of is the term that a pulse belongs to; 0 for the claim itself.
+	Of uint64 `cbor:"4,keyasint,omitempty"`
+	// Resigned is set once the coordinator has stopped coordinating.
+	Resigned bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Accepted returns the record of an accepted job.
+func Accepted(s *order.Spec) (Record, error) { return encode(kindAccepted, s.ID, s) }
+
+// Cancelled returns the record of a cancellation.
+func Cancelled(id string) Record { return Record{Key: string(kindCancelled) + id, Value: []byte{1}} }
+
+// Advanced returns the record of a job's progress.
+func Advanced(id string, p *order.Progress) (Record, error) { return encode(kindProgress, id, p) }
+
+// Claimed returns the record of a claim or a pulse.
+func Claimed(c *Claim) (Record, error) { return encode(kindClaim, "", c) }
+
+// Forgotten returns the records that drop a job.
+func Forgotten(id string) []Record {
+	return []Record{
+		{Key: string(kindAccepted) + id}, {Key: string(kindCancelled) + id}, {Key: string(kindProgress) + id},
+	}
+}
+
+func encode(kind byte, id string, v any) (Record, error) {
+	b, err := wire.Encode(v)
+	if err != nil {
+		return Record{}, errors.Wrapf(err, "record of %q", id)
+	}
+	return Record{Key: string(kind) + id, Value: b}, nil
+}
--- /dev/null
+++ b/internal/yard/foreman/attempt.go
@@ -0,0 +1,464 @@
+package foreman
+
+import (
+	"log/slog"
+
+	"github.com/limpetrelay/limpetrelay/internal/yard/crew"
+	"github.com/limpetrelay/limpetrelay/internal/yard/order"
+)
+
+// phase is how far an attempt has come.
+type phase uint8
+
+const (
+	// phasePlanned attempts wait for their record, or for room.
+	phasePlanned phase = iota
+	// phaseSent attempts have a start order on its way.
+	phaseSent
+	// phaseUnsure attempts may or may not be at work: the last coordinator placed
+	// them, or a start was not answered.
+	phaseUnsure
+	// phaseRunning attempts are at work.
+	phaseRunning
+	// phaseStopping attempts have been told to end.
+	phaseStopping
+)
+
+// unit is what starts and ends together: a gang, or one task.
+type unit struct {
+	job              *job
+	occurrence, step int
+	run              int
+	attempts         []*attempt
+	// batch is the batch that records the placement, and recorded is set once it is
+	// in the store. sent is set once start orders were given.
+	batch          uint64
+	recorded, sent bool
+	// blockers is the number of attempts that must end first, since made at placedAt.
+	blockers int
+	placedAt int64
+	// broken is set once a member has ended in any way but done.
+	broken bool
+}
+
+// attempt is one run of one task on a worker.
+type attempt struct {
+	*unit
+	index int
+	w     *worker
+	// born is the worker's lifetime, 0 while it is not known.
+	born  int64
+	phase phase
+	// strayNeed is set for a run that the book does not know of.
+	stray bool
+	need  order.Resources
+	// tries counts the start orders, and maybe is set once one was not answered.
+	tries int
+	maybe bool
+	// sentAt, stopAt and stopped are when the last start or stop was sent and when the
+	// stop was obeyed; 0 for never.
+	sentAt, stopAt, stopped int64
+	// startedAt is when the run was first known to be at work.
+	startedAt int64
+	// percent was seen at movedAt for the first time.
+	percent    int
+	movedAt    int64
+	checkpoint string
+	// why is the reason of the stop.
+	why string
+	// frees has the units that wait for this attempt's end.
+	frees []*unit
+}
+
+// name returns the task's name.
+func (a *attempt) name() order.Name {
+	return order.Name{Job: a.job.id, Occurrence: a.occurrence, Step: a.step, Index: a.index}
+}
+
+// task returns the recorded state of the attempt's task, or nil when it is gone.
+func (a *attempt) task() *order.Task { return a.job.task(a.occurrence, a.step, a.index) }
+
+// spec returns the attempt's step.
+func (u *unit) spec() *order.Step { return &u.job.spec.Steps[u.step] }
+
+// task returns the recorded state of a task, or nil.
+func (j *job) task(k, step, index int) *order.Task {
+	if k >= len(j.prog.Rounds) || step >= len(j.prog.Rounds[k]) || index >= len(j.prog.Rounds[k][step]) {
+		return nil
+	}
+	return &j.prog.Rounds[k][step][index]
+}
+
+// newAttempt adds an attempt of u to a worker.
+func (s *State) newAttempt(u *unit, index int, w *worker) *attempt {
+	a := &attempt{unit: u, index: index, w: w, need: u.spec().Reserved(), movedAt: s.now}
+	u.attempts = append(u.attempts, a)
+	u.job.live++
+	w.attempts[a.name()] = a
+	w.used = w.used.Add(a.need)
+	return a
+}
+
+// begin gives the start orders of a unit that is recorded and has room.
+func (s *State) begin(u *unit) {
+	if !u.recorded || u.blockers > 0 || u.sent || len(u.attempts) == 0 {
+		return
+	}
+	if u.broken || u.job.prog.State.Ended() {
+		s.void(u, "ended before it began")
+		return
+	}
+	for _, a := range u.attempts {
+		if a.w.lost || a.born != a.w.born || s.leaving(a.w) {
+			s.void(u, "worker "+a.w.ID+" cannot be used any more")
+			return
+		}
+	}
+	u.sent = true
+	for _, a := range u.attempts {
+		s.sendStart(a)
+	}
+}
+
+// sendStart gives one start order.
+func (s *State) sendStart(a *attempt) {
+	w := a.w
+	a.phase, a.sentAt = phaseSent, s.now
+	a.tries++
+	lease := w.clockNow(s.now) + s.Lease
+	w.leased(lease)
+	t := a.task()
+	checkpoint := ""
+	if t != nil {
+		checkpoint = t.Checkpoint
+	}
+	s.out = append(s.out, Effect{Start: &Start{Target: w.target(), Order: crew.Start{
+		Task: a.name(), Run: a.run, Payload: a.job.spec.Payload, Lease: lease, Token: s.Term,
+		Checkpoint: checkpoint, Ticket: s.ticket(a),
+	}}})
+}
+
+// void takes back a unit of which no start order was given.
+func (s *State) void(u *unit, why string) {
+	s.line("placement taken back", slog.String("id", u.job.id), slog.Int("step", u.step), slog.Int("run", u.run),
+		slog.String("why", why))
+	for _, a := range append([]*attempt(nil), u.attempts...) {
+		s.drop(a)
+		if t := a.task(); t != nil && t.Phase == order.Placed {
+			t.Phase = order.Waiting
+		}
+	}
+	s.changed(u.job)
+	s.planDue = true
+}
+
+// drop removes an attempt from its worker, which frees its room.
+func (s *State) drop(a *attempt) {
+	w := a.w
+	if w.attempts[a.name()] != a {
+		return
+	}
+	delete(w.attempts, a.name())
+	if w.dropped == nil {
+		w.dropped = make(map[order.Name]ended)
+	}
+	w.dropped[a.name()] = ended{run: a.run, at: s.now}
+	w.used = w.used.Sub(a.need)
+	a.job.live--
+	for i, b := range a.attempts {
+		if b == a {
+			a.unit.attempts = append(a.attempts[:i:i], a.attempts[i+1:]...)
+			break
+		}
+	}
+	for _, u := range a.frees {
+		u.blockers--
+		s.begin(u)
+	}
+	a.frees = nil
+	s.planDue = true
+}
+
+// stop orders an attempt to end. Attempts that were never started are taken back.
+func (s *State) stop(a *attempt, why string) {
+	if a.phase == phaseStopping {
+		return
+	}
+	if a.phase == phasePlanned && !a.sent {
+		a.broken = true
+		s.void(a.unit, why)
+		return
+	}
+	a.phase, a.why = phaseStopping, why
+	s.line("stopping", slog.String("id", a.job.id), slog.Int("step", a.step), slog.Int("index", a.index),
+		slog.Int("run", a.run), slog.String("worker", a.w.ID), slog.String("why", why))
+	s.sendStop(a)
+}
+
+// sendStop gives one stop order.
+func (s *State) sendStop(a *attempt) {
+	a.stopAt = s.now
+	s.out = append(s.out, Effect{Stop: &Stop{Target: a.w.target(), Order: crew.Stop{Task: a.name(), Run: a.run, Token: s.Term}}})
+}
+
+// stopUnit orders all attempts of a unit to end.
+func (s *State) stopUnit(u *unit, why string) {
+	for _, a := range append([]*attempt(nil), u.attempts...) {
+		s.stop(a, why)
+	}
+}
+
+// answered takes the answer to an order.
+func (s *State) answered(e *Answered) {
+	w := s.workers[e.Worker]
+	if e.Reply.Verdict == crew.Fenced {
+		s.resign("worker " + e.Worker + " has seen a higher token")
+		return
+	}
+	if w == nil {
+		return
+	}
+	if e.Reply.Clock > 0 {
+		w.heard(s.now, e.Reply.Clock)
+	} else {
+		w.unheard(s.now)
+	}
+	a := w.attempts[e.Task]
+	if a == nil || a.run != e.Run {
+		return
+	}
+	if e.Stopped {
+		s.stopAnswered(a, e.Reply.Verdict)
+	} else {
+		s.startAnswered(a, e.Reply.Verdict)
+	}
+}
+
+// startAnswered takes the answer to a start order.
+func (s *State) startAnswered(a *attempt, v crew.Verdict) {
+	if a.phase != phaseSent {
+		// The order has been overtaken by a stop or by the worker's list.
+		if v == crew.Unanswered {
+			a.maybe = true
+		}
+		return
+	}
+	switch v {
+	case crew.Obeyed:
+		a.phase = phaseRunning
+		if a.startedAt == 0 {
+			a.startedAt, a.movedAt = s.now, s.now
+		}
+		s.line("started", slog.String("id", a.job.id), slog.Int("step", a.step), slog.Int("index", a.index),
+			slog.Int("run", a.run), slog.String("worker", a.w.ID), slog.Int("try", a.tries))
+	case crew.Unanswered, crew.NotSent:
+		a.maybe = a.maybe || v == crew.Unanswered
+		if a.tries < s.StartTries && !a.broken {
+			s.sendStart(a)
+			return
+		}
+		if !a.maybe {
+			s.refused(a, v)
+			return
+		}
+		a.w.strike(s, a, "starts are not answered")
+		s.breakUnit(a.unit, "a start was not answered")
+	case crew.OtherLife:
+		s.refused(a, v)
+		s.lifeOver(a.w, "another lifetime answered", true)
+	default:
+		if a.maybe {
+			// An earlier try may have been carried out, or may be yet.
+			a.phase = phaseUnsure
+			s.breakUnit(a.unit, "a start was refused after one that was not answered")
+			return
+		}
+		s.refused(a, v)
+	}
+}
+
+// refused ends an attempt whose start was certainly not carried out.
+func (s *State) refused(a *attempt, v crew.Verdict) {
+	s.line("start refused", slog.String("id", a.job.id), slog.Int("step", a.step), slog.Int("index", a.index),
+		slog.Int("run", a.run), slog.String("worker", a.w.ID), slog.String("verdict", string(v)))
+	switch v {
+	case crew.NoRoom:
+		a.w.closedUntil = max(a.w.closedUntil, s.now+roomPause)
+	case crew.Unwell:
+		a.w.closedUntil = max(a.w.closedUntil, s.now+s.Quarantine)
+	case crew.NotSent:
+		a.w.closedUntil = max(a.w.closedUntil, s.now+roomPause)
+	case crew.NoTicket:
+		s.dropTickets(a)
+	case crew.Invalid:
+		s.avoid(a)
+	}
+	s.over(a, crew.EndStopped, "")
+}
+
+// roomPause is how long a worker that had no room gets nothing new; its list
+// tells within this time what runs there, in milliseconds.
+const roomPause = 500
+
+// breakUnit stops all attempts of a unit, since it cannot go on.
+func (s *State) breakUnit(u *unit, why string) {
+	u.broken = true
+	s.stopUnit(u, why)
+}
+
+// stopAnswered takes the answer to a stop order.
+func (s *State) stopAnswered(a *attempt, v crew.Verdict) {
+	switch v {
+	case crew.Obeyed:
+		a.stopped = s.now
+	case crew.OtherLife:
+		s.lifeOver(a.w, "another lifetime answered", true)
+	}
+}
+
+// over ends an attempt. It records what became of the task and decides what
+// follows.
+func (s *State) over(a *attempt, how crew.Ending, checkpoint string) {
+	j, t := a.job, a.task()
+	u := a.unit
+	s.drop(a)
+	if a.stray || t == nil {
+		s.settle(j)
+		return
+	}
+	s.changed(j)
+	if checkpoint != "" {
+		t.Checkpoint = checkpoint
+	}
+	if how == crew.EndDone && !j.prog.State.Ended() {
+		s.done(u, t)
+		s.settle(j)
+		return
+	}
+	if t.Phase == order.Placed {
+		t.Phase = order.Waiting
+	}
+	gang := u.spec().Gang
+	if how == crew.EndFailed && !j.prog.State.Ended() {
+		s.failed(a)
+	}
+	if gang && !u.broken {
+		u.broken = true
+		s.stopUnit(u, "a member of the gang has ended: "+string(how))
+	}
+	if gang && len(u.attempts) == 0 {
+		s.shareCheckpoint(u)
+	}
+	s.settle(j)
+}
+
+// done notes a successful end, which for a gang is that of all members.
+func (s *State) done(u *unit, t *order.Task) {
+	t.Phase = order.Done
+	t.Checkpoint, t.Worker = "", ""
+	if !u.spec().Gang {
+		return
+	}
+	for _, b := range append([]*attempt(nil), u.attempts...) {
+		s.drop(b)
+	}
+	tasks := u.job.prog.Rounds[u.occurrence][u.step]
+	for i := range tasks {
+		tasks[i].Phase, tasks[i].Checkpoint, tasks[i].Worker = order.Done, "", ""
+	}
+}
+
+// failed counts a failure, and ends the job after the last attempt.
+func (s *State) failed(a *attempt) {
+	j := a.job
+	counted := a.task()
+	if a.spec().Gang {
+		if a.broken {
+			return
+		}
+		counted = j.task(a.occurrence, a.step, 0)
+	}
+	counted.Failures++
+	s.avoid(a)
+	a.w.strike(s, a, "a task failed")
+	s.line("task failed", slog.String("id", j.id), slog.Int("step", a.step), slog.Int("index", a.index),
+		slog.Int("run", a.run), slog.String("worker", a.w.ID), slog.Int("failures", counted.Failures),
+		slog.Int("attempts", j.spec.Attempts))
+	if counted.Failures >= j.spec.Attempts && !a.spec().Lasting {
+		s.endJob(j, order.Failed, "a task has failed as often as it may")
+	}
+}
+
+// avoid keeps the next attempts of the step away from the worker.
+func (s *State) avoid(a *attempt) {
+	j := a.job
+	if j.avoid == nil {
+		j.avoid = make(map[int]map[string]bool)
+	}
+	if j.avoid[a.step] == nil {
+		j.avoid[a.step] = make(map[string]bool)
+	}
+	j.avoid[a.step][a.w.ID] = true
+}
+
+// shareCheckpoint gives all members of a gang the same checkpoint: any member's is
+// valid for the gang, and all must resume from the same.
+func (s *State) shareCheckpoint(u *unit) {
+	tasks := u.job.prog.Rounds[u.occurrence][u.step]
+	best := ""
+	for i := range tasks {
+		if c := tasks[i].Checkpoint; len(c) > len(best) || len(c) == len(best) && c > best {
+			best = c
+		}
+	}
+	for i := range tasks {
+		tasks[i].Checkpoint = best
+	}
+}
+
+// settle ends a job whose tasks are all done.
+func (s *State) settle(j *job) {
+	if j.prog.State.Ended() {
+		return
+	}
+	s.planDue = true
+	rounds := j.prog.Rounds
+	for k := range rounds {
+		if rounds[k] != nil && order.RoundDone(rounds[k]) {
+			rounds[k] = nil
+			s.changed(j)
+		}
+	}
+	if len(rounds) < j.spec.Rounds() {
+		return
+	}
+	for k := range rounds {
+		if rounds[k] != nil {
+			return
+		}
+	}
+	s.endJob(j, order.Completed, "all tasks are done")
+}
+
+// endJob ends a job and stops what still runs.
+func (s *State) endJob(j *job, state order.State, why string) {
+	j.prog.State, j.prog.Ended = state, s.wall
+	s.changed(j)
+	s.line("job ended", slog.String("id", j.id), slog.String("state", string(state)), slog.String("why", why),
+		slog.Int64("ageMs", s.now-j.since), slog.Int64("spareMs", j.deadline-s.now))
+	for _, w := range s.workers {
+		for _, a := range w.attempts {
+			if a.job == j {
+				s.stop(a, "the job has ended: "+string(state))
+			}
+		}
+	}
+}
+
+// cancel ends a job for its caller.
+func (s *State) cancel(j *job) {
+	j.cancelled = true
+	if !j.prog.State.Ended() {
+		s.endJob(j, order.Cancelled, "the caller cancelled it")
+	}
+}
--- /dev/null
+++ b/internal/yard/foreman/event.go
@@ -0,0 +1,121 @@
+package foreman
+
+import (
+	"log/slog"
+
+	"github.com/limpetrelay/limpetrelay/internal/yard/book"
+	"github.com/limpetrelay/limpetrelay/internal/yard/crew"
+	"github.com/limpetrelay/limpetrelay/internal/yard/order"
+	"github.com/limpetrelay/limpetrelay/internal/yard/route"
+)
+
+// Event is one thing that happened. Now is a steady time that counts the time
+// while the host was frozen, and Wall the time of day, both in milliseconds; one of
+// the pointers is set, or none for the passing of time.
+type Event struct {
+	Now, Wall int64
+
+	Job        *JobChanged
+	Listed     *crew.Listing
+	Unlisted   *Unlisted
+	Held       *Held
+	Answered   *Answered
+	Recorded   *Recorded
+	Configured *route.Configuration
+	Advised    *Advised
+	// Replaced says why the store takes no more records; empty otherwise.
+	Replaced string
+}
+
+// JobChanged brings a job that was accepted or cancelled.
+type JobChanged struct {
+	Spec      *order.Spec
+	Cancelled bool
+}
+
+// Unlisted tells that a worker's entry is gone.
+type Unlisted struct{ ID string }
+
+// Held is the answer to a Hold effect.
+type Held struct {
+	Worker string
+	// Asked is when the hold was sent, in the time of Event.Now.
+	Asked int64
+	Reply crew.Held
+}
+
+// Answered is the answer to an order.
+type Answered struct {
+	Worker string
+	Task   order.Name
+	Run    int
+	// Stopped is set for a stop, and clear for a start.
+	Stopped bool
+	Reply   crew.Reply
+}
+
+// Recorded tells that a batch of records is in the store.
+type Recorded struct {
+	Batch uint64
+	// Sent is when the append was sent, in the time of Event.Now.
+	Sent int64
+}
+
+// Advised is the answer to an Advise effect.
+type Advised struct {
+	Step order.Name
+	// Tickets is by worker; nil when there was no answer.
+	Tickets map[string]string
+	// Validity is in milliseconds.
+	Validity int64
+}
+
+// Effect is one thing to do; one of the pointers is set.
+type Effect struct {
+	Record *Record
+	Start  *Start
+	Stop   *Stop
+	Hold   *Hold
+	Advise *Advise
+	Line   *Line
+	// Resign is set when the coordinator must stop, and says why.
+	Resign string
+}
+
+// Record writes a batch to the store. The driver repeats it until it is written and
+// answers with Recorded, unless the coordinator has been replaced. The next batch
+// comes after the answer.
+type Record struct {
+	Batch   uint64
+	Records []book.Record
+}
+
+// Start gives a start order.
+type Start struct {
+	Target crew.Target
+	Order  crew.Start
+}
+
+// Stop gives a stop order.
+type Stop struct {
+	Target crew.Target
+	Order  crew.Stop
+}
+
+// Hold renews a lease.
+type Hold struct {
+	Target crew.Target
+	Order  crew.Hold
+}
+
+// Advise asks the advisory service where a step may run.
+type Advise struct {
+	Step    order.Name
+	Workers []string
+}
+
+// Line is one line for the log.
+type Line struct {
+	Message string
+	Attrs   []slog.Attr
+}
--- /dev/null
+++ b/internal/yard/foreman/jobs.go
@@ -0,0 +1,120 @@
+package foreman
+
+import (
+	"log/slog"
+
+	"github.com/limpetrelay/limpetrelay/internal/yard/book"
+)
+
+// jobChanged takes a job that was accepted or cancelled.
+func (s *State) jobChanged(e *JobChanged) {
+	if e.Spec == nil {
+		return
+	}
+	j := s.jobs[e.Spec.ID]
+	if j == nil {
+		spec := *e.Spec
+		j = s.addJob(spec.ID, &book.Job{Spec: &spec})
+		s.line("job seen", slog.String("id", j.id), slog.String("organisation", spec.Organisation),
+			slog.String("route", spec.Route), slog.Int("priority", spec.Priority), slog.Int("steps", len(spec.Steps)),
+			slog.Int64("objectiveMs", j.deadline-j.since))
+		s.planDue = true
+	}
+	if e.Cancelled && !j.cancelled {
+		s.cancel(j)
+	}
+}
+
+// openRound opens the occurrences of a job that are due.
+func (s *State) openRound(j *job) {
+	if j.prog.State.Ended() {
+		return
+	}
+	for k := len(j.prog.Rounds); k < j.spec.Rounds(); k++ {
+		if j.spec.Occurrences > 0 && s.wall < j.spec.Due(k) {
+			return
+		}
+		j.prog.Rounds = append(j.prog.Rounds, j.spec.NewRound())
+	}
+}
+
+// openRounds looks for occurrences that have become due.
+func (s *State) openRounds() {
+	for _, j := range s.jobs {
+		if j.spec.Occurrences > 0 {
+			s.openRound(j)
+		}
+	}
+}
+
+// forget drops jobs that ended long ago.
+func (s *State) forget() {
+	for id, j := range s.jobs {
+		if j.prog.State.Ended() && j.live == 0 && s.wall > j.prog.Ended+s.Kept+keptSlack {
+			delete(s.jobs, id)
+			s.forgotten = append(s.forgotten, id)
+		}
+	}
+}
+
+// keptSlack covers clocks that differ between hosts, in milliseconds.
+const keptSlack = 10_000
+
+// watchProgress stops a task that stands still.
+func (s *State) watchProgress(a *attempt) {
+	step := a.spec()
+	if step.Lasting || step.Estimate == 0 || a.percent >= 100 {
+		return
+	}
+	for _, b := range a.attempts {
+		// A gang stands still until its last member is at work, and while any does.
+		if b.startedAt == 0 || s.now-b.startedAt < s.GangWait {
+			return
+		}
+	}
+	still := max(standstill, int64(float64(step.Estimate)*s.FarFactor*standstillShare))
+	if s.now-a.movedAt < still+s.HoldWait || s.silent(a.w) > 0 {
+		return
+	}
+	s.line("task stands still", slog.String("id", a.job.id), slog.Int("step", a.step), slog.Int("index", a.index),
+		slog.Int("run", a.run), slog.String("worker", a.w.ID), slog.Int("percent", a.percent),
+		slog.Int64("forMs", s.now-a.movedAt))
+	s.avoid(a)
+	a.w.closedUntil = max(a.w.closedUntil, s.now+s.Quarantine)
+	s.breakUnit(a.unit, "it stands still")
+}
+
+const (
+	// standstill is the least time without progress after which a task counts as
+	// standing still, in milliseconds.
+	standstill = 1200
+	// standstillShare is the same as a share of the estimate; progress is told in
+	// hundredths.
+	standstillShare = 0.06
+)
+
+// evacuate moves what will not end before a worker leaves.
+func (s *State) evacuate(w *worker) {
+	s.line("worker leaves", slog.String("worker", w.ID), slog.Int64("remainingMs", w.Remaining), slog.Int("runs", len(w.attempts)))
+	for _, a := range sorted(w.attempts) {
+		if a.phase == phasePlanned && !a.sent {
+			s.void(a.unit, "worker "+w.ID+" leaves")
+			continue
+		}
+		if a.phase == phaseStopping || a.stray || !a.spec().Checkpoints || a.spec().Lasting {
+			continue
+		}
+		if s.remaining(a) > w.Remaining {
+			s.breakUnit(a.unit, "worker "+w.ID+" leaves")
+		}
+	}
+}
+
+// remaining returns the estimated rest of a run, in milliseconds.
+func (s *State) remaining(a *attempt) int64 {
+	est := a.spec().Estimate
+	if a.startedAt == 0 {
+		return est
+	}
+	return est * int64(100-min(100, a.percent)) / 100
+}
--- /dev/null
+++ b/internal/yard/foreman/state.go
@@ -0,0 +1,296 @@
+package foreman
+
+import (
+	"log/slog"
+
+	"github.com/limpetrelay/limpetrelay/internal/yard/book"
+	"github.com/limpetrelay/limpetrelay/internal/yard/crew"
+	"github.com/limpetrelay/limpetrelay/internal/yard/order"
+	"github.com/limpetrelay/limpetrelay/internal/yard/route"
+)
+
+// Settings configures a State. Times are in milliseconds. Zero fields have
+// defaults.
+type Settings struct {
+	// Lease is how long a worker runs on without a renewal. Default 6000.
+	Lease int64
+	// Unproved is how long leases are renewed and orders given without a record that
+	// proves the role. Default 12000.
+	Unproved int64
+	// HoldWait is how long a worker with runs may wait before it answers a hold.
+	// Default 1000.
+	HoldWait int64
+	// IdleWait is the same for a worker without runs. Default 2000.
+	IdleWait int64
+	// Silence is the time without an answer after which a worker gets nothing new.
+	// Default 2500.
+	Silence int64
+	// StartTries is how often an unanswered start is repeated. Default 3.
+	StartTries int
+	// Quarantine is how long a worker that fails different jobs gets nothing new, at
+	// first. Default 5000.
+	Quarantine int64
+	// PlanEvery is the least time between two passes over the waiting tasks. Default 15.
+	PlanEvery int64
+	// PulseEvery is the longest time between two records of the coordinator.
+	// Default 500.
+	PulseEvery int64
+	// GangWait is how long the first member of a gang waits for the others. Default 3000.
+	GangWait int64
+	// FarFactor is how much slower a task is away from its data or its gang. Default 1.
+	FarFactor float64
+	// Restore is the time to resume from a checkpoint.
+	Restore int64
+	// Kept is how long ended jobs are kept. Default 120000.
+	Kept int64
+	// Early is by how much an occurrence may start before it is due.
+	Early int64
+	// Host and Incarnation name the process in its records.
+	Host, Incarnation string
+}
+
+func (s *Settings) init() {
+	def(&s.Lease, 6000)
+	def(&s.Unproved, 12_000)
+	def(&s.HoldWait, 1000)
+	def(&s.IdleWait, 2000)
+	def(&s.Silence, 2500)
+	def(&s.StartTries, 3)
+	def(&s.Quarantine, 5000)
+	def(&s.PlanEvery, 15)
+	def(&s.PulseEvery, 500)
+	def(&s.GangWait, 3000)
+	def(&s.FarFactor, 1)
+	def(&s.Kept, 120_000)
+}
+
+// def sets v to d when it is zero.
+func def[T int | int64 | float64](v *T, d T) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+// drift is the smallest speed of a worker's clock against the host's.
+const drift = 0.98
+
+// State is the coordinator's state. Its Settings and Term are set before the first
+// Apply, and Start is called with what the book holds. It must not be used by two
+// goroutines at once.
+type State struct {
+	Settings
+	// Term is the coordinator's term and the workers' fencing token.
+	Term uint64
+
+	now, wall int64
+	// began is when the role was taken.
+	began int64
+	// proved is when the newest append that succeeded was sent.
+	proved int64
+	config *route.Configuration
+
+	jobs    map[string]*job
+	workers map[string]*worker
+
+	recorder
+	advisor
+
+	planDue  bool
+	planned  int64
+	resigned bool
+	out      []Effect
+}
+
+// job is an open job, or an ended one until it is forgotten.
+type job struct {
+	id   string
+	spec *order.Spec
+	prog *order.Progress
+	// cancelled is set once the caller has cancelled the job.
+	cancelled bool
+	// since is when the job was first seen, in the reducer's time; deadline is when
+	// its objective ends.
+	since, deadline int64
+	// live is the number of its attempts.
+	live int
+	// avoid has the workers on which a task of the step failed, by step.
+	avoid map[int]map[string]bool
+	// guaranteed is set while the organisation's guarantee covers the job.
+	guaranteed bool
+	dirty      bool
+}
+
+// Start takes over the jobs of the book. It must be called once, before Apply.
+func (s *State) Start(now, wall int64, b *book.Book, c *route.Configuration) []Effect {
+	s.Settings.init()
+	s.now, s.wall, s.began, s.proved, s.config = now, wall, now, now, c
+	s.jobs, s.workers = make(map[string]*job), make(map[string]*worker)
+	runs := 0
+	for id, j := range b.Jobs {
+		if j.Spec == nil || j.Progress != nil && j.Progress.State.Ended() && j.Spec == nil {
+			continue
+		}
+		n := s.addJob(id, j)
+		runs += n.live
+	}
+	s.line("role taken", slog.Uint64("term", s.Term), slog.Int("jobs", len(s.jobs)), slog.Int("runs", runs),
+		slog.Uint64("next", b.Next))
+	s.planDue = true
+	s.finishCall()
+	return s.take()
+}
+
+// addJob takes over a job of the book, with the attempts that may be at work.
+func (s *State) addJob(id string, b *book.Job) *job {
+	j := &job{id: id, spec: b.Spec, cancelled: b.Cancelled, since: s.now}
+	j.since -= min(max(0, s.wall-b.Spec.Accepted), maxAge)
+	s.jobs[id] = j
+	if b.Progress == nil {
+		j.prog = &order.Progress{State: order.Queued}
+	} else {
+		j.prog = b.Progress.Clone()
+	}
+	s.setTerms(j)
+	if j.prog.State.Ended() {
+		return j
+	}
+	for k, round := range j.prog.Rounds {
+		for step, tasks := range round {
+			s.adopt(j, k, step, tasks)
+		}
+	}
+	if j.cancelled {
+		s.cancel(j)
+	}
+	return j
+}
+
+// maxAge bounds the age of a job that is worked out from another host's time of
+// day, which may be wrong.
+const maxAge = 60_000
+
+// setTerms works out the job's deadline under the configuration in force.
+func (s *State) setTerms(j *job) {
+	if s.config != nil {
+		if r := s.config.Routes[j.spec.Route]; r != nil {
+			j.spec.Service, j.spec.Priority, j.spec.Attempts = r.Service, r.Priority, r.Attempts
+			j.spec.Stretch, j.spec.Slack = r.Stretch, r.Slack
+		}
+	}
+	j.deadline = j.since + j.spec.Objective()
+}
+
+// adopt makes attempts of the tasks that the last coordinator has placed.
+func (s *State) adopt(j *job, k, step int, tasks []order.Task) {
+	var u *unit
+	for i := range tasks {
+		t := &tasks[i]
+		if t.Phase != order.Placed {
+			continue
+		}
+		if u == nil || !j.spec.Steps[step].Gang {
+			u = &unit{job: j, occurrence: k, step: step, run: t.Run, sent: true}
+		}
+		a := s.newAttempt(u, i, s.workerFor(t.Worker))
+		a.phase = phaseUnsure
+		a.born = t.Born
+	}
+}
+
+// Apply takes one event and returns its effects.
+func (s *State) Apply(e *Event) []Effect {
+	s.now, s.wall = max(s.now, e.Now), e.Wall
+	switch {
+	case s.resigned:
+		return nil
+	case e.Job != nil:
+		s.jobChanged(e.Job)
+	case e.Listed != nil:
+		s.listed(e.Listed)
+	case e.Unlisted != nil:
+		s.unlisted(e.Unlisted.ID)
+	case e.Held != nil:
+		s.held(e.Held)
+	case e.Answered != nil:
+		s.answered(e.Answered)
+	case e.Recorded != nil:
+		s.recorded(e.Recorded)
+	case e.Advised != nil:
+		s.advised(e.Advised)
+	case e.Replaced != "":
+		s.resign(e.Replaced)
+	case e.Configured != nil:
+		s.config = e.Configured
+		for _, j := range s.jobs {
+			s.setTerms(j)
+		}
+		s.planDue = true
+	default:
+		s.tick()
+	}
+	s.finishCall()
+	return s.take()
+}
+
+// finishCall places what can be placed and writes what has changed.
+func (s *State) finishCall() {
+	if s.planDue && s.now >= s.planned+s.PlanEvery && s.Commanding() {
+		s.planDue, s.planned = false, s.now
+		s.plan()
+	}
+	s.flush()
+}
+
+// take returns the collected effects.
+func (s *State) take() []Effect {
+	out := s.out
+	s.out = nil
+	return out
+}
+
+// Commanding reports whether the role was proved recently enough to give orders.
+func (s *State) Commanding() bool { return !s.resigned && s.now-s.proved <= s.Unproved }
+
+// tick does what only depends on the time.
+func (s *State) tick() {
+	for _, w := range s.workers {
+		s.watch(w)
+	}
+	s.openRounds()
+	s.forget()
+	s.planDue = true
+}
+
+// resign gives the role up.
+func (s *State) resign(why string) {
+	if s.resigned {
+		return
+	}
+	s.resigned = true
+	s.line("role lost", slog.Uint64("term", s.Term), slog.String("why", why))
+	s.out = append(s.out, Effect{Resign: why})
+}
+
+// line adds a line for the log.
+func (s *State) line(message string, attrs ...slog.Attr) {
+	s.out = append(s.out, Effect{Line: &Line{Message: message, Attrs: attrs}})
+}
+
+// Open returns the numbers of open jobs, live attempts and usable workers.
+func (s *State) Open() (jobs, attempts, workers int) {
+	for _, j := range s.jobs {
+		if !j.prog.State.Ended() {
+			jobs++
+		}
+	}
+	for _, w := range s.workers {
+		attempts += len(w.attempts)
+		if !s.closed(w) {
+			workers++
+		}
+	}
+	return jobs, attempts, workers
+}
+
+// target returns where orders for w go.
+func (w *worker) target() crew.Target { return crew.Target{ID: w.ID, Address: w.Address} }
--- /dev/null
+++ b/internal/yard/order/progress.go
@@ -0,0 +1,119 @@
+package order
+
+// State is what a caller is told about a job.
+type State string
+
+// The states.
+const (
+	Queued    State = "queued"
+	Running   State = "running"
+	Completed State = "completed"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
+// Ended reports whether nothing of the job may start any more.
+func (s State) Ended() bool { return s == Completed || s == Failed || s == Cancelled }
+
+// Phase is how far a task has come.
+type Phase uint8
+
+// The phases.
+const (
+	// Waiting tasks run nowhere and may be placed.
+	Waiting Phase = iota
+	// Placed tasks have a run that may be at work on its worker.
+	Placed
+	// Done tasks have ended successfully.
+	Done
+)
+
+// Task is the recorded state of one task.
+type Task struct {
+	_     struct{} `cbor:",toarray"`
+	Phase Phase
+	// Run numbers the starts. It never falls, and 0 means that there was none.
+	Run int
+	// Failures counts the runs that failed. For a gang, the first task counts.
+	Failures int
+	// Worker and Born name the worker's lifetime of a placed task.
+	Worker string
+	Born   int64
+	// Checkpoint is the newest progress known; empty for none.
+	Checkpoint string
+}
+
+// Progress is the recorded state of a job. Only the coordinator writes it.
+type Progress struct {
+	// Term is the coordinator's.
+	Term  uint64 `cbor:"1,keyasint"`
+	State State  `cbor:"2,keyasint"`
+	// Begun is set once a task has been placed.
+	Begun bool `cbor:"3,keyasint,omitempty"`
+	// Rounds has, for each occurrence that has been opened, the tasks per step. An
+	// occurrence whose tasks are all done is nil.
+	Rounds [][][]Task `cbor:"4,keyasint,omitempty"`
+	// Ended is the coordinator's time of day of the end, in milliseconds since 1970.
+	Ended int64 `cbor:"5,keyasint,omitempty"`
+}
+
+// NewRound returns the tasks of an occurrence in which nothing has run.
+func (s *Spec) NewRound() [][]Task {
+	r := make([][]Task, len(s.Steps))
+	for i := range r {
+		r[i] = make([]Task, s.Steps[i].Tasks)
+	}
+	return r
+}
+
+// StepDone reports whether all tasks of a step are done.
+func StepDone(tasks []Task) bool {
+	for i := range tasks {
+		if tasks[i].Phase != Done {
+			return false
+		}
+	}
+	return true
+}
+
+// RoundDone reports whether all tasks of an occurrence are done.
+func RoundDone(steps [][]Task) bool {
+	for _, t := range steps {
+		if !StepDone(t) {
+			return false
+		}
+	}
+	return true
+}
+
+// Ready reports whether all steps before step are done in round.
+func (s *Spec) Ready(round [][]Task, step int) bool {
+	for _, a := range s.Steps[step].After {
+		if !StepDone(round[a]) {
+			return false
+		}
+	}
+	return true
+}
+
+// Name identifies a task.
+type Name struct {
+	Job                     string
+	Occurrence, Step, Index int
+}
+
+// Clone returns a deep copy of p.
+func (p *Progress) Clone() *Progress {
+	q := *p
+	q.Rounds = make([][][]Task, len(p.Rounds))
+	for k, round := range p.Rounds {
+		if round == nil {
+			continue
+		}
+		q.Rounds[k] = make([][]Task, len(round))
+		for i, tasks := range round {
+			q.Rounds[k][i] = append([]Task(nil), tasks...)
+		}
+	}
+	return &q
+}
