A gang's failure counts whichever member's end is listed first

When the end of a member that was broken off came from its worker before the end of the one that failed, the run was already marked as broken and the failure was passed over.

Change: a unit remembers whether a failure of its run has been counted.

--- a/internal/yard/foreman/attempt.go
+++ b/internal/yard/foreman/attempt.go
@@ -37,8 +37,9 @@
 	// blockers is the number of attempts that must end first, since made at placedAt.
 	blockers int
 	placedAt int64
-	// broken is set once a member has ended in any way but done.
-	broken bool
+	// broken is set once a member has ended in any way but done, and failed once a
+	// failure of the run has been counted.
+	broken, failed bool
 }
 
 // attempt is one run of one task on a worker.
@@ -373,11 +374,12 @@
 	j := a.job
 	counted := a.task()
 	if a.spec().Gang {
-		if a.broken {
+		if a.unit.failed {
 			return
 		}
 		counted = j.task(a.occurrence, a.step, 0)
 	}
+	a.unit.failed = true
 	counted.Failures++
 	s.avoid(a)
 	a.w.strike(s, a, "a task failed")
