An emulator of workers and store, and the coordinator's tests

Change: internal/yard/drill plays the coordinator in virtual time against workers with leases, tokens, tombstones and gangs, with ten kinds of faults, and notes each broken promise. Ruled out: the product's own entry tests as a base; they know no steps or tokens.

--- /dev/null
+++ b/internal/yard/drill/coordinator.go
@@ -0,0 +1,191 @@
+package drill
+
+import (
+	"github.com/limpetrelay/limpetrelay/internal/yard/book"
+	"github.com/limpetrelay/limpetrelay/internal/yard/crew"
+	"github.com/limpetrelay/limpetrelay/internal/yard/foreman"
+)
+
+const (
+	// tickEvery is the time between two ticks, in milliseconds.
+	tickEvery = 50
+	// orderTimeout is when an order counts as unanswered, in milliseconds.
+	orderTimeout = 500
+)
+
+// coordinator drives a reducer.
+type coordinator struct {
+	w     *World
+	state foreman.State
+	term  uint64
+	// dead coordinators neither act nor hear.
+	dead bool
+}
+
+// takeOver lets a new coordinator claim the role.
+func (w *World) takeOver(first bool) {
+	if w.storeDown {
+		w.after(tickEvery, func() { w.takeOver(first) })
+		return
+	}
+	c := &coordinator{w: w, term: w.book.Next + 1}
+	r, err := book.Claimed(&book.Claim{Host: "host", Incarnation: "host-1"})
+	if err != nil {
+		w.broken("a claim cannot be written: %v", err)
+		return
+	}
+	w.epoch = c.term
+	w.write(r)
+	w.lead = c
+	c.state = foreman.State{Settings: w.Coordinator, Term: c.term}
+	c.carryOut(c.state.Start(w.now, w.now, &w.book, w.Configuration))
+	for _, k := range w.workers {
+		if k.listed {
+			w.list(k)
+		}
+	}
+	c.tick()
+}
+
+func (c *coordinator) tick() {
+	if c.dead {
+		return
+	}
+	c.apply(foreman.Event{})
+	c.w.after(tickEvery, c.tick)
+}
+
+func (c *coordinator) apply(e foreman.Event) {
+	if c.dead {
+		return
+	}
+	e.Now, e.Wall = c.w.now, c.w.now
+	c.carryOut(c.state.Apply(&e))
+}
+
+func (c *coordinator) carryOut(es []foreman.Effect) {
+	for i := range es {
+		e := &es[i]
+		switch {
+		case e.Line != nil:
+			c.w.Lines[e.Line.Message]++
+		case e.Record != nil:
+			c.record(e.Record)
+		case e.Start != nil:
+			c.start(e.Start)
+		case e.Stop != nil:
+			c.stop(e.Stop)
+		case e.Hold != nil:
+			c.hold(e.Hold)
+		case e.Resign != "":
+			c.dead = true
+		}
+	}
+}
+
+// record writes a batch, or tries again while the store is down.
+func (c *coordinator) record(b *foreman.Record) {
+	sent := c.w.now
+	c.w.after(c.w.Delay, func() {
+		switch {
+		case c.w.epoch > c.term:
+			c.apply(foreman.Event{Replaced: "fenced"})
+		case c.w.storeDown:
+			c.w.after(2*tickEvery, func() { c.record(b) })
+		default:
+			for _, r := range b.Records {
+				c.w.write(r)
+			}
+			c.w.after(c.w.Delay, func() { c.apply(foreman.Event{Recorded: &foreman.Recorded{Batch: b.Batch, Sent: sent}}) })
+		}
+	})
+}
+
+func (w *World) worker(id string) *worker {
+	for _, k := range w.workers {
+		if k.id == id {
+			return k
+		}
+	}
+	return nil
+}
+
+// order brings an order to a worker and its answer back. Orders may be carried out
+// late and not be answered.
+func (c *coordinator) order(id string, do func(*worker) crew.Reply, answered func(crew.Reply)) {
+	k := c.w.worker(id)
+	born := k.born
+	unanswered := func() { c.w.after(orderTimeout, func() { answered(crew.Reply{Verdict: crew.Unanswered}) }) }
+	c.w.after(c.w.Delay/2, func() {
+		if !k.reach() {
+			unanswered()
+			return
+		}
+		if k.born != born {
+			c.w.after(c.w.Delay/2, func() { answered(crew.Reply{Verdict: crew.OtherLife}) })
+			return
+		}
+		if c.w.late > 0 && c.w.rand.Float64() < c.w.late {
+			c.w.after(2000+c.w.rand.Int64N(10_000), func() {
+				if k.reach() && k.born == born {
+					do(k)
+				}
+			})
+			unanswered()
+			return
+		}
+		r := do(k)
+		c.w.after(c.w.Delay/2, func() { answered(r) })
+	})
+}
+
+func (c *coordinator) start(e *foreman.Start) {
+	c.order(e.Target.ID, func(k *worker) crew.Reply { return k.start(&e.Order) }, func(r crew.Reply) {
+		c.apply(foreman.Event{Answered: &foreman.Answered{Worker: e.Target.ID, Task: e.Order.Task, Run: e.Order.Run, Reply: r}})
+	})
+}
+
+func (c *coordinator) stop(e *foreman.Stop) {
+	c.order(e.Target.ID, func(k *worker) crew.Reply { return k.stop(&e.Order) }, func(r crew.Reply) {
+		c.apply(foreman.Event{Answered: &foreman.Answered{
+			Worker: e.Target.ID, Task: e.Order.Task, Run: e.Order.Run, Stopped: true, Reply: r,
+		}})
+	})
+}
+
+func (c *coordinator) hold(e *foreman.Hold) {
+	asked := c.w.now
+	k := c.w.worker(e.Target.ID)
+	answered := func(h crew.Held) {
+		c.apply(foreman.Event{Held: &foreman.Held{Worker: e.Target.ID, Asked: asked, Reply: h}})
+	}
+	unanswered := func() {
+		c.w.after(e.Order.Wait+orderTimeout, func() { answered(crew.Held{Reply: crew.Reply{Verdict: crew.Unanswered}}) })
+	}
+	c.w.after(c.w.Delay/2, func() {
+		if !k.reach() {
+			unanswered()
+			return
+		}
+		if h := k.hold(&e.Order); h.Verdict != crew.Obeyed || len(h.Ended) > 0 || e.Order.Wait == 0 {
+			c.w.after(c.w.Delay/2, func() { answered(h) })
+			return
+		}
+		born, sent := k.born, false
+		reply := func() {
+			if sent {
+				return
+			}
+			sent = true
+			c.w.after(c.w.Delay/2, func() {
+				if !k.reach() || k.born != born {
+					unanswered()
+					return
+				}
+				answered(k.hold(&crew.Hold{Token: e.Order.Token, Seen: e.Order.Seen}))
+			})
+		}
+		k.waiting = reply
+		c.w.after(e.Order.Wait, reply)
+	})
+}
--- /dev/null
+++ b/internal/yard/drill/plan.go
@@ -0,0 +1,104 @@
+package drill
+
+import (
+	"github.com/limpetrelay/limpetrelay/internal/yard/foreman"
+	"github.com/limpetrelay/limpetrelay/internal/yard/order"
+	"github.com/limpetrelay/limpetrelay/internal/yard/route"
+)
+
+// Plan describes a world. Times are in milliseconds since its beginning.
+type Plan struct {
+	Seed uint64
+	// Workers is the number of workers, Rack how many share a rack; default 8.
+	Workers, Rack int
+	// Capacity is that of each worker; the default is 64 cores, 256 GiB and 8
+	// accelerators.
+	Capacity order.Resources
+	// Service names the workers' pool; default "service".
+	Service string
+	// Configuration is in force from the beginning.
+	Configuration *route.Configuration
+	Coordinator   foreman.Settings
+	// Jobs arrive at their times.
+	Jobs   []Arrival
+	Faults []Fault
+	// Delay is the way to a worker or the store and back; default 2.
+	Delay int64
+	// StopTime is how long a stop takes; default 300. GangWait is how long members wait
+	// for each other; default 3000. SaveEvery is the work between checkpoints; default
+	// 1000.
+	StopTime, GangWait, SaveEvery int64
+	// FarFactor is how much slower tasks are away from their data or gang; default 3.
+	FarFactor float64
+}
+
+// Arrival is a job that comes at a time.
+type Arrival struct {
+	At   int64
+	Spec order.Spec
+	// Work is how long each task really takes; 0 means its estimate.
+	Work int64
+	// Hopeless jobs fail wherever they run.
+	Hopeless bool
+	// CancelAt is when the caller cancels; 0 for never.
+	CancelAt int64
+}
+
+// Kind is the kind of a fault.
+type Kind string
+
+// The kinds.
+const (
+	// Late orders are carried out 2 to 12 s later and not answered, with probability X.
+	Late Kind = "late"
+	// Sick workers fail everything that they start.
+	Sick Kind = "sick"
+	// Hang lets everything on the workers stand still.
+	Hang Kind = "hang"
+	// Slow workers take X times as long.
+	Slow Kind = "slow"
+	// Crash ends the workers, which come back empty in a new lifetime.
+	Crash Kind = "crash"
+	// Leave lets the workers drain and then go.
+	Leave Kind = "leave"
+	// Cut workers are not reached and run on.
+	Cut Kind = "cut"
+	// StoreDown refuses all calls to the store.
+	StoreDown Kind = "storeDown"
+	// Replace kills the coordinator, and another one takes over.
+	Replace Kind = "replace"
+	// Usurp starts another coordinator while the old one goes on.
+	Usurp Kind = "usurp"
+)
+
+// Fault is something that goes wrong.
+type Fault struct {
+	At, For int64
+	Kind    Kind
+	// Count is the number of workers, picked by the seed.
+	Count int
+	X     float64
+}
+
+func (p *Plan) init() {
+	def(&p.Rack, 8)
+	if p.Capacity == (order.Resources{}) {
+		p.Capacity = order.Resources{Cores: 64_000, Memory: 262_144, Accelerators: 8}
+	}
+	def(&p.Service, "service")
+	def(&p.Delay, 2)
+	def(&p.StopTime, 300)
+	def(&p.GangWait, 3000)
+	def(&p.SaveEvery, 1000)
+	def(&p.FarFactor, 3)
+	p.Coordinator.GangWait, p.Coordinator.FarFactor = p.GangWait, p.FarFactor
+	p.Coordinator.Host, p.Coordinator.Incarnation = "host", "host-1"
+}
+
+// def sets v to d when it is zero.
+func def[T int | int64 | float64 | string](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
--- /dev/null
+++ b/internal/yard/drill/world.go
@@ -0,0 +1,310 @@
+package drill
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/limpetrelay/limpetrelay/internal/yard/book"
+	"github.com/limpetrelay/limpetrelay/internal/yard/crew"
+	"github.com/limpetrelay/limpetrelay/internal/yard/foreman"
+	"github.com/limpetrelay/limpetrelay/internal/yard/order"
+)
+
+// World is an emulated deployment.
+type World struct {
+	Plan
+	// Broken has the promises that were broken.
+	Broken []string
+	// Lines counts the coordinator's log lines by message.
+	Lines map[string]int
+
+	now     int64
+	queue   events
+	count   int64
+	rand    *rand.Rand
+	book    book.Book
+	epoch   uint64
+	workers []*worker
+	jobs    map[string]*jobFacts
+	gangs   map[gangKey]*gang
+	// lead is the coordinator that the store takes records from.
+	lead      *coordinator
+	storeDown bool
+	late      float64
+}
+
+// jobFacts is what the world knows of a job.
+type jobFacts struct {
+	Arrival
+	spec *order.Spec
+	// cancelled is when the cancellation was recorded; 0 for never.
+	cancelled int64
+	// begun is when the first task began and shown when the end was shown; 0 for never.
+	begun, shown int64
+	state        order.State
+	tasks        map[order.Name]*taskFacts
+	starts       int
+}
+
+// taskFacts is what the world knows of a task.
+type taskFacts struct {
+	// live has the runs at work.
+	live []*run
+	// succeeded is set once a run has ended well, and done once that was noted; failures
+	// has the runs whose failure was noted.
+	succeeded, done bool
+	failures        map[int]bool
+}
+
+// work returns how long a task of a step takes.
+func (f *jobFacts) work(step int) int64 {
+	if f.Work > 0 {
+		return f.Work
+	}
+	return max(1, f.spec.Steps[step].Estimate)
+}
+
+type timed struct {
+	at, count int64
+	do        func()
+}
+
+type events []timed
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(e[i].at, e[j].at), cmp.Compare(e[i].count, e[j].count)) < 0
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(timed)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// heartbeat is the time between a worker's reports, in milliseconds.
+func (w *World) heartbeat() int64 { return 1500 }
+
+// after lets do happen d milliseconds later.
+func (w *World) after(d int64, do func()) {
+	w.count++
+	heap.Push(&w.queue, timed{at: w.now + max(0, d), count: w.count, do: do})
+}
+
+// New returns a world in which nothing has happened yet.
+func New(p Plan) *World {
+	p.init()
+	w := &World{
+		Plan: p, Lines: make(map[string]int), rand: rand.New(rand.NewPCG(p.Seed, 1)),
+		jobs: make(map[string]*jobFacts), gangs: make(map[gangKey]*gang), now: 1,
+	}
+	for i := range p.Workers {
+		k := &worker{w: w, id: fmt.Sprintf("w%03d", i), rack: fmt.Sprintf("r%d", i/p.Rack), rate: 0.98 + 0.02*w.rand.Float64()}
+		w.workers = append(w.workers, k)
+		k.boot()
+	}
+	w.after(10, func() { w.takeOver(true) })
+	for i := range p.Jobs {
+		a := p.Jobs[i]
+		w.after(a.At, func() { w.arrive(a) })
+	}
+	for _, f := range p.Faults {
+		w.after(f.At, func() { w.fault(f) })
+	}
+	return w
+}
+
+// Run plays until a time.
+func (w *World) Run(until int64) {
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		e := heap.Pop(&w.queue).(timed)
+		w.now = e.at
+		e.do()
+	}
+	w.now = until
+}
+
+// RunUntilEnded plays until all jobs have ended, or a time.
+func (w *World) RunUntilEnded(until int64) {
+	const step = 1000
+	for w.now < until && (w.now < w.lastArrival() || !w.allEnded()) {
+		w.Run(w.now + step)
+	}
+}
+
+func (w *World) lastArrival() int64 {
+	var last int64
+	for i := range w.Jobs {
+		last = max(last, w.Jobs[i].At)
+	}
+	return last
+}
+
+func (w *World) allEnded() bool {
+	for _, f := range w.jobs {
+		if !f.state.Ended() {
+			return false
+		}
+	}
+	return true
+}
+
+// arrive brings a job into the store and to the coordinator.
+func (w *World) arrive(a Arrival) {
+	spec := a.Spec
+	spec.Accepted = w.now
+	f := &jobFacts{Arrival: a, spec: &spec, tasks: make(map[order.Name]*taskFacts)}
+	w.jobs[spec.ID] = f
+	r, err := book.Accepted(&spec)
+	if err != nil {
+		w.broken("a job cannot be recorded: %v", err)
+		return
+	}
+	w.write(r)
+	if a.CancelAt > 0 {
+		w.after(a.CancelAt-w.now, func() {
+			f.cancelled = w.now
+			w.write(book.Cancelled(spec.ID))
+		})
+	}
+}
+
+// write puts a record into the store and shows it to the coordinators.
+func (w *World) write(r book.Record) {
+	c, err := w.book.Apply(w.book.Next, r)
+	w.book.Next++
+	if err != nil {
+		w.broken("a record cannot be read: %v", err)
+		return
+	}
+	w.judgeShown(c.Job)
+	j := w.book.Jobs[c.Job]
+	if j == nil || j.Spec == nil {
+		return
+	}
+	e := foreman.Event{Job: &foreman.JobChanged{Spec: j.Spec, Cancelled: j.Cancelled}}
+	if l := w.lead; l != nil {
+		w.after(w.Delay, func() { l.apply(e) })
+	}
+}
+
+// pick returns n workers that are up.
+func (w *World) pick(n int) []*worker {
+	at := w.rand.Perm(len(w.workers))
+	var out []*worker
+	for _, i := range at {
+		if k := w.workers[i]; k.up && !k.draining && len(out) < n {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// fault lets something go wrong.
+func (w *World) fault(f Fault) {
+	switch f.Kind {
+	case Late:
+		w.late = f.X
+		w.after(f.For, func() { w.late = 0 })
+	case StoreDown:
+		w.storeDown = true
+		w.after(f.For, func() { w.storeDown = false })
+	case Replace:
+		w.lead.dead = true
+		w.after(max(f.For, 1500), func() { w.takeOver(false) })
+	case Usurp:
+		w.takeOver(false)
+	default:
+		for _, k := range w.pick(max(1, f.Count)) {
+			w.faultWorker(f, k)
+		}
+	}
+}
+
+func (w *World) faultWorker(f Fault, k *worker) {
+	switch f.Kind {
+	case Sick:
+		k.sick = true
+		w.after(f.For, func() { k.sick = false })
+	case Hang:
+		k.hang = true
+		for _, r := range k.all() {
+			r.base, r.since = r.done(), 0
+		}
+		w.after(f.For, func() {
+			k.hang = false
+			for _, r := range k.all() {
+				if g := r.gang(); r.since == 0 && (g == nil || g.begun) {
+					r.work()
+				}
+			}
+		})
+	case Slow:
+		k.slow = f.X
+		w.after(f.For, func() { k.slow = 1 })
+	case Crash:
+		k.crash(f.For)
+	case Leave:
+		k.draining = true
+		w.list(k)
+		w.after(4000, func() { k.crash(0) })
+	case Cut:
+		k.cut = true
+		w.after(3*w.heartbeat(), func() {
+			if k.cut {
+				w.unlist(k)
+			}
+		})
+		w.after(f.For, func() {
+			k.cut = false
+			w.list(k)
+		})
+	}
+}
+
+// list shows a worker's entry to the coordinators.
+func (w *World) list(k *worker) {
+	k.listed = true
+	if l := w.lead; l != nil {
+		e := foreman.Event{Listed: k.listing()}
+		w.after(w.Delay, func() { l.apply(e) })
+	}
+}
+
+// unlist removes a worker's entry.
+func (w *World) unlist(k *worker) {
+	if k.up && !k.cut {
+		return
+	}
+	k.listed = false
+	if l := w.lead; l != nil {
+		w.after(w.Delay, func() { l.apply(foreman.Event{Unlisted: &foreman.Unlisted{ID: k.id}}) })
+	}
+}
+
+func (w *worker) listing() *crew.Listing {
+	return &crew.Listing{
+		ID: w.id, Born: w.born, Address: w.id, Service: w.w.Service, Labels: []string{"a", w.rack},
+		Capacity: w.w.Capacity, Draining: w.draining, Remaining: 2500,
+	}
+}
+
+// wake answers a hold that waits.
+func (w *World) wake(k *worker) {
+	if do := k.waiting; do != nil {
+		k.waiting = nil
+		do()
+	}
+}
+
+func sortRuns(rs []*run) {
+	slices.SortFunc(rs, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.name.Job, b.name.Job), cmp.Compare(a.name.Occurrence, b.name.Occurrence),
+			cmp.Compare(a.name.Step, b.name.Step), cmp.Compare(a.name.Index, b.name.Index))
+	})
+}
--- /dev/null
+++ b/internal/yard/foreman/foreman_test.go
@@ -0,0 +1,206 @@
+package foreman_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/limpetrelay/limpetrelay/internal/fixedseed"
+	"github.com/limpetrelay/limpetrelay/internal/yard/drill"
+	"github.com/limpetrelay/limpetrelay/internal/yard/order"
+	"github.com/limpetrelay/limpetrelay/internal/yard/route"
+)
+
+func TestMain(m *testing.M) {
+	fixedseed.Set("60")
+	os.Exit(m.Run())
+}
+
+const service = "service"
+
+// gang returns a job of one gang.
+func gang(id string, tasks int, accelerators, estimate int64, priority int) order.Spec {
+	return order.Spec{
+		ID: id, Route: fmt.Sprint("p", priority), Organisation: "crew", Service: service, Priority: priority,
+		Attempts: 3, Stretch: 3, Slack: 1200,
+		Steps: []order.Step{{
+			Tasks: tasks, Need: order.Resources{Cores: 7500, Memory: 39_000, Accelerators: accelerators},
+			Estimate: estimate, Gang: true, SameRack: true,
+		}},
+	}
+}
+
+// batch returns a job of separate tasks.
+func batch(id string, tasks int, estimate int64) order.Spec {
+	s := gang(id, tasks, 1, estimate, 2)
+	s.Steps[0].Gang, s.Steps[0].SameRack = false, false
+	return s
+}
+
+// configuration guarantees an organisation some accelerators.
+func configuration(guaranteed int64) *route.Configuration {
+	c := &route.Configuration{
+		Version: 1, Routes: map[string]*route.Route{},
+		Services:      map[string]*route.Service{service: {Name: service, Guarded: true}},
+		Organisations: map[string]*route.Organisation{"crew": {Name: "crew", Guaranteed: guaranteed}},
+		Keys:          map[string]string{"key": "crew"},
+	}
+	c.Index()
+	return c
+}
+
+// play plays a plan, and requires that no promise was broken.
+func play(t require.TestingT, p drill.Plan, until int64) *drill.World {
+	w := drill.New(p)
+	w.RunUntilEnded(until)
+	require.Empty(t, w.Broken[:min(3, len(w.Broken))], "%d promises broken", len(w.Broken))
+	return w
+}
+
+// requireEnded requires that all jobs ended in a state.
+func requireEnded(t *testing.T, w *drill.World, state order.State) {
+	t.Helper()
+	for _, r := range w.Results() {
+		require.Equal(t, state, r.State, "%+v", r)
+	}
+}
+
+func TestCalmDay(t *testing.T) {
+	p := drill.Plan{Workers: 16, Configuration: configuration(64)}
+	for i := range 20 {
+		p.Jobs = append(p.Jobs,
+			drill.Arrival{At: int64(1000 + 400*i), Spec: gang(fmt.Sprintf("g%02d", i), 3, 2, 2500, 0)},
+			drill.Arrival{At: int64(1100 + 400*i), Spec: batch(fmt.Sprintf("b%02d", i), 9, 3000)})
+	}
+	w := play(t, p, 60_000)
+	requireEnded(t, w, order.Completed)
+	for _, r := range w.Results() {
+		assert.Less(t, r.Late, int64(0), "%+v", r)
+	}
+}
+
+// A gang's members may be listed as broken before the one that failed is.
+func TestGangFailureCountsInAnyOrder(t *testing.T) {
+	for seed := range uint64(20) {
+		p := drill.Plan{Seed: seed, Workers: 8, Configuration: configuration(64)}
+		p.Jobs = []drill.Arrival{{At: 1000, Spec: gang("g", 6, 8, 2000, 1), Hopeless: true}}
+		w := play(t, p, 60_000)
+		requireEnded(t, w, order.Failed)
+		assert.Equal(t, 3*6, w.Results()[0].Starts)
+	}
+}
+
+func TestStepsFollowEachOther(t *testing.T) {
+	s := batch("b", 5, 1000)
+	second := s.Steps[0]
+	second.After = []int{0}
+	s.Steps = append(s.Steps, second)
+	w := play(t, drill.Plan{Workers: 4, Configuration: configuration(0), Jobs: []drill.Arrival{{At: 1000, Spec: s}}}, 20_000)
+	requireEnded(t, w, order.Completed)
+}
+
+func TestCancelledJobStops(t *testing.T) {
+	p := drill.Plan{Workers: 4, Configuration: configuration(0)}
+	p.Jobs = []drill.Arrival{{At: 1000, Spec: batch("b", 50, 4000), CancelAt: 3000}}
+	w := play(t, p, 30_000)
+	requireEnded(t, w, order.Cancelled)
+	assert.LessOrEqual(t, w.Results()[0].Starts, 32)
+}
+
+// Guaranteed work starts at once on workers that others fill.
+func TestGuaranteeReclaims(t *testing.T) {
+	p := drill.Plan{Workers: 16, Configuration: configuration(64)}
+	for i := range 16 {
+		s := batch(fmt.Sprintf("b%02d", i), 8, 30_000)
+		p.Jobs = append(p.Jobs, drill.Arrival{At: 1000, Spec: s})
+	}
+	p.Jobs = append(p.Jobs, drill.Arrival{At: 5000, Spec: gang("urgent", 8, 8, 2500, 0)})
+	w := play(t, p, 30_000)
+	rs := w.Results()
+	last := rs[len(rs)-1]
+	assert.Less(t, last.Waited, int64(1600), "urgent work starts within the letter's bound")
+	assert.Equal(t, order.Completed, last.State)
+}
+
+func TestTakeOverLosesNothing(t *testing.T) {
+	p := drill.Plan{Workers: 8, Configuration: configuration(64)}
+	for i := range 12 {
+		p.Jobs = append(p.Jobs, drill.Arrival{At: int64(1000 + 300*i), Spec: gang(fmt.Sprintf("g%02d", i), 2, 4, 6000, 1)})
+	}
+	p.Faults = []drill.Fault{{At: 2500, Kind: drill.Replace, For: 2000}, {At: 7000, Kind: drill.Replace, For: 2000}}
+	w := play(t, p, 90_000)
+	requireEnded(t, w, order.Completed)
+	for _, r := range w.Results() {
+		assert.Equal(t, 2, r.Starts, "a take-over repeats no run: %+v", r)
+	}
+}
+
+// TestRandomFaults plays days with any faults, and checks the promises while they
+// run and that every job ends afterwards.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64Range(0, 1<<40).Draw(rt, "seed")
+		p, end := randomPlan(seed)
+		w := play(rt, p, end)
+		for _, r := range w.Results() {
+			if !r.State.Ended() {
+				rt.Fatalf("job %s has not ended: %+v (seed %d, %d lines)", r.ID, r, seed, len(w.Lines))
+			}
+		}
+	})
+}
+
+// randomPlan returns a day with a load, faults and a calm end.
+func randomPlan(seed uint64) (drill.Plan, int64) {
+	r := rand.New(rand.NewPCG(seed, 2))
+	p := drill.Plan{Seed: seed, Workers: 8 + r.IntN(17), Configuration: configuration(int64(r.IntN(100)))}
+	for i := range 10 + r.IntN(40) {
+		id := fmt.Sprintf("j%03d", i)
+		a := drill.Arrival{At: 500 + r.Int64N(20_000), Hopeless: r.IntN(12) == 0}
+		if r.IntN(2) == 0 {
+			n := 1 + r.IntN(12)
+			// Four workers are left after all faults.
+			a.Spec = gang(id, n, min(1<<r.IntN(4), max(1, int64(32/n))), 1000+r.Int64N(6000), r.IntN(3))
+		} else {
+			a.Spec = batch(id, 1+r.IntN(30), 1000+r.Int64N(6000))
+			if r.IntN(3) == 0 {
+				a.Spec.Steps[0].PerWorker = 1 + r.IntN(3)
+			}
+		}
+		a.Spec.Steps[0].SameRack = r.IntN(2) == 0
+		a.Spec.Steps[0].Checkpoints = r.IntN(2) == 0
+		if r.IntN(3) == 0 {
+			a.Spec.Steps[0].DataRack = "r0"
+		}
+		if r.IntN(4) == 0 {
+			second := a.Spec.Steps[0]
+			second.After = []int{0}
+			a.Spec.Steps = append(a.Spec.Steps, second)
+		}
+		a.Work = a.Spec.Steps[0].Estimate * (80 + r.Int64N(40)) / 100
+		if r.IntN(8) == 0 {
+			a.CancelAt = a.At + r.Int64N(8000)
+		}
+		p.Jobs = append(p.Jobs, a)
+	}
+	kinds := []drill.Kind{
+		drill.Late, drill.Sick, drill.Hang, drill.Slow, drill.Crash, drill.Leave, drill.Cut, drill.StoreDown,
+		drill.Replace, drill.Usurp,
+	}
+	for range r.IntN(7) {
+		f := drill.Fault{
+			At: 1000 + r.Int64N(25_000), For: 500 + r.Int64N(8000), Kind: kinds[r.IntN(len(kinds))],
+			Count: 1 + r.IntN(2), X: 4,
+		}
+		if f.Kind == drill.Late {
+			f.X = 0.05 + 0.2*r.Float64()
+		}
+		p.Faults = append(p.Faults, f)
+	}
+	return p, 400_000
+}
