--- a/internal/yard/foreman/worker.go
+++ b/internal/yard/foreman/worker.go
@@ -368,7 +368,7 @@
 	if len(w.attempts) > 0 && s.lapsed(w) {
 		s.lifeOver(w, "its lease has run out without an answer", !w.entry)
 	}
-	if !w.entry && w.Draining && w.silentSince != 0 && s.now-w.silentSince > s.Silence {
+	if !w.entry && !w.lost && w.Draining && w.silentSince != 0 && s.now-w.silentSince > s.Silence {
 		s.lifeOver(w, "it has left", true)
 	}
 	if !w.entry && len(w.attempts) == 0 && w.goneAt != 0 && s.now-w.goneAt > goneAfter {
