Urgent work displaces other urgent work last

Ruled out: leaving urgent work out altogether; a guarantee must be met. Change: work that is not urgent is tried first.

--- a/internal/yard/foreman/plan.go
+++ b/internal/yard/foreman/plan.go
@@ -334,31 +334,43 @@
 
 // displaceInRack stops others on the rack where that loses the least.
 func (s *State) displaceInRack(r *request, f *floor, need *crew.Request) bool {
-	units, victims := s.victims(r, f)
-	if len(victims) == 0 {
-		return false
-	}
-	var places, stopped []int
-	best := -1.0
-	for _, rack := range sortedKeys(f.racks) {
-		p, v, cost := crew.MakeRoom(f.seats, f.racks[rack], need, victims)
-		if p != nil && len(p) == need.Tasks && (best < 0 || cost < best) {
-			places, stopped, best = p, v, cost
+	for _, least := range displaceable(r) {
+		units, victims := s.victims(f, least)
+		var places, stopped []int
+		best := -1.0
+		for _, rack := range sortedKeys(f.racks) {
+			p, v, cost := crew.MakeRoom(f.seats, f.racks[rack], need, victims)
+			if len(p) == need.Tasks && (best < 0 || cost < best) {
+				places, stopped, best = p, v, cost
+			}
+		}
+		if places != nil {
+			s.takePlaces(r, f, r.indices, places, pick(units, stopped))
+			return true
 		}
 	}
-	if places == nil {
-		return false
+	return false
+}
+
+// displaceable returns the lowest ranks that a request may displace, those that are
+// tried first in front: guaranteed work stops other urgent work only when stopping
+// what is not urgent makes no room.
+func displaceable(r *request) []int {
+	if r.rank == rankGuaranteed {
+		return []int{rankOther, rankUrgent}
 	}
-	s.takePlaces(r, f, r.indices, places, pick(units, stopped))
-	return true
+	return []int{rankOther}
 }
 
 // displace stops others anywhere for tasks that find no room.
 func (s *State) displace(r *request, f *floor, indices []int, need *crew.Request, at []int) {
-	units, victims := s.victims(r, f)
-	places, stopped, _ := crew.MakeRoom(f.seats, at, need, victims)
-	if len(places) == need.Tasks {
-		s.takePlaces(r, f, indices, places, pick(units, stopped))
+	for _, least := range displaceable(r) {
+		units, victims := s.victims(f, least)
+		places, stopped, _ := crew.MakeRoom(f.seats, at, need, victims)
+		if len(places) == need.Tasks {
+			s.takePlaces(r, f, indices, places, pick(units, stopped))
+			return
+		}
 	}
 }
 
@@ -379,14 +391,15 @@
 	return ks
 }
 
-// victims returns the units that may be stopped for r, and what each frees.
-func (s *State) victims(r *request, f *floor) ([]*unit, []crew.Victim) {
+// victims returns the units of a rank or a higher one that may be stopped, and what
+// each frees.
+func (s *State) victims(f *floor, least int) ([]*unit, []crew.Victim) {
 	var units []*unit
 	var victims []crew.Victim
 	at := make(map[*unit]int)
 	for i, w := range f.workers {
 		for _, a := range sorted(w.attempts) {
-			if a.stray || a.phase == phaseStopping || a.phase == phasePlanned || s.rank(a.job) <= max(r.rank, rankUrgent-1) ||
+			if a.stray || a.phase == phaseStopping || a.phase == phasePlanned || s.rank(a.job) < least ||
 				a.spec().Lasting || a.job.prog.State.Ended() {
 				continue
 			}
