Leases are renewed while ends wait for the store, and hangs are seen sooner

After an end the next hold waited for the end's record, so that no lease was renewed until the store was back; and the worker, never marked as silent, was given new placements every 50 ms that lapsed at once. Hangs were noticed only 3 s after the last member of a gang began, and the worker that was blamed was the first by name. Change: a hold that waits for a record is sent all the same after a while; a worker whose lease has run out has to list its runs before it is used; progress is compared between the worker's own lists, twice as often where urgent work runs, and the member that moved least recently is blamed. TestLeasesOutliveStoreOutage fails without the first.

--- a/internal/yard/foreman/attempt.go
+++ b/internal/yard/foreman/attempt.go
@@ -61,9 +61,9 @@
 	sentAt, stopAt, stopped int64
 	// startedAt is when the run was first known to be at work.
 	startedAt int64
-	// percent was seen at movedAt for the first time.
-	percent    int
-	movedAt    int64
+	// percent was seen at movedAt for the first time, and at seenAt for the last time.
+	percent         int
+	movedAt, seenAt int64
 	checkpoint string
 	// why is the reason of the stop.
 	why string
--- a/internal/yard/foreman/foreman_test.go
+++ b/internal/yard/foreman/foreman_test.go
@@ -205,3 +205,19 @@
 	}
 	return p, 400_000
 }
+
+// Leases are renewed while ends wait for a store that is away.
+func TestLeasesOutliveStoreOutage(t *testing.T) {
+	p := drill.Plan{Workers: 4, Configuration: configuration(0)}
+	for i := range 4 {
+		p.Jobs = append(p.Jobs,
+			drill.Arrival{At: 1000, Spec: batch(fmt.Sprintf("short%d", i), 2, 3000+500*int64(i))},
+			drill.Arrival{At: 1000, Spec: batch(fmt.Sprintf("long%d", i), 4, 20_000)})
+	}
+	p.Faults = []drill.Fault{{At: 2000, Kind: drill.StoreDown, For: 9500}}
+	w := play(t, p, 60_000)
+	requireEnded(t, w, order.Completed)
+	for _, r := range w.Results() {
+		assert.LessOrEqual(t, r.Starts, 4, "nothing lapses: %+v", r)
+	}
+}
--- a/internal/yard/foreman/jobs.go
+++ b/internal/yard/foreman/jobs.go
@@ -66,19 +66,24 @@
 	if step.Lasting || step.Estimate == 0 || a.percent >= 100 {
 		return
 	}
+	still := max(standstill, int64(float64(step.Estimate)*s.FarFactor*standstillShare))
+	oldest := a
 	for _, b := range a.attempts {
-		// A gang stands still until its last member is at work, and while any does.
-		if b.startedAt == 0 || s.now-b.startedAt < s.GangWait {
+		// A gang works from the moment when its last member is there.
+		if b.startedAt == 0 || s.now-b.startedAt < still {
 			return
 		}
+		if b.movedAt < oldest.movedAt {
+			oldest = b
+		}
 	}
-	still := max(standstill, int64(float64(step.Estimate)*s.FarFactor*standstillShare))
-	if s.now-a.movedAt < still+s.HoldWait || s.silent(a.w) > 0 {
+	// The member that moved least recently is the one that holds the others up.
+	if oldest != a || a.seenAt-a.movedAt < still || s.silent(a.w) > 0 {
 		return
 	}
 	s.line("task stands still", slog.String("id", a.job.id), slog.Int("step", a.step), slog.Int("index", a.index),
 		slog.Int("run", a.run), slog.String("worker", a.w.ID), slog.Int("percent", a.percent),
-		slog.Int64("forMs", s.now-a.movedAt))
+		slog.Int64("forMs", a.seenAt-a.movedAt))
 	s.avoid(a)
 	a.w.closedUntil = max(a.w.closedUntil, s.now+s.Quarantine)
 	s.breakUnit(a.unit, "it stands still")
@@ -87,7 +92,7 @@
 const (
 	// standstill is the least time without progress after which a task counts as
 	// standing still, in milliseconds.
-	standstill = 1200
+	standstill = 700
 	// standstillShare is the same as a share of the estimate; progress is told in
 	// hundredths.
 	standstillShare = 0.06
--- a/internal/yard/foreman/worker.go
+++ b/internal/yard/foreman/worker.go
@@ -176,8 +176,9 @@
 		s.planDue = true
 	}
 	if len(w.acks) > 0 {
-		// The next hold acknowledges the ends, once they are recorded.
-		w.holdDue = true
+		// The next hold acknowledges the ends, once they are recorded. When the store is
+		// away the lease is renewed all the same.
+		w.holdDue, w.holdAgain = true, s.now+s.HoldWait
 		return
 	}
 	s.hold(w)
@@ -260,6 +261,7 @@
 	if a.startedAt == 0 {
 		a.startedAt, a.movedAt, a.percent = s.now, s.now, r.Percent
 	}
+	a.seenAt = s.now
 	if r.Percent != a.percent {
 		a.percent, a.movedAt = r.Percent, s.now
 	}
@@ -319,6 +321,9 @@
 		h.Wait = s.IdleWait
 		if len(w.attempts) > 0 {
 			h.Wait = s.HoldWait
+			if s.urgentOn(w) {
+				h.Wait = s.HoldWait / 2
+			}
 		}
 		if w.silentSince != 0 {
 			h.Wait = 0
@@ -329,6 +334,16 @@
 	s.out = append(s.out, Effect{Hold: &Hold{Target: w.target(), Order: h}})
 }
 
+// urgentOn reports whether urgent work runs on w; its progress is looked at more often.
+func (s *State) urgentOn(w *worker) bool {
+	for _, a := range w.attempts {
+		if a.job.spec.Priority == 0 && !a.stray {
+			return true
+		}
+	}
+	return false
+}
+
 // heard notes an answer with the worker's clock.
 func (w *worker) heard(now, clock int64) {
 	w.clock, w.clockAt, w.silentSince = clock, now, 0
@@ -387,7 +402,7 @@
 // lifeOver ends everything on a worker. The lifetime itself is over when gone is
 // set; otherwise the worker is used again once it answers.
 func (s *State) lifeOver(w *worker, why string, gone bool) {
-	w.lost = w.lost || gone
+	w.lost, w.verified = w.lost || gone, false
 	s.line("worker lost", slog.String("worker", w.ID), slog.Int64("born", w.born), slog.String("why", why),
 		slog.Int("runs", len(w.attempts)), slog.Int64("silentMs", s.silent(w)))
 	for _, a := range sorted(w.attempts) {
