Places are looked for again only when something has become free

Ruled out: fewer passes for all; urgent work has to be placed within milliseconds. Change: a request that found no place waits until room was freed, or a quarter of a second; MakeRoom copies the seats of one rack and looks only at its victims.

--- a/internal/yard/crew/victims.go
+++ b/internal/yard/crew/victims.go
@@ -11,60 +11,68 @@
 }
 
 // MakeRoom returns places for all tasks of r on the seats at the given indices
-// and the indices of the victims to stop for them, at a low total cost. It returns
-// nil places when even stopping all victims does not help.
-func MakeRoom(seats []Seat, at []int, r *Request, victims []Victim) (places, stopped []int, cost float64) {
-	work := append([]Seat(nil), seats...)
-	here := make(map[int]bool, len(at))
+// and the indices of the victims to stop for them, at a low total cost. Only the
+// victims at the given indices are considered. It returns nil places when even
+// stopping all of them does not help.
+func MakeRoom(seats []Seat, at []int, r *Request, victims []Victim, among []int) (places, stopped []int, cost float64) {
+	work := make([]Seat, len(at))
+	local := make(map[int]int, len(at))
 	room := 0
-	for _, i := range at {
-		here[i] = true
-		room += r.Fit(&work[i])
+	for k, i := range at {
+		work[k] = seats[i]
+		local[i] = k
+		room += r.Fit(&work[k])
 	}
-	used := make([]bool, len(victims))
+	left := append([]int(nil), among...)
 	for room < r.Tasks {
-		v := cheapest(work, here, r, victims, used)
-		if v < 0 {
+		k := cheapest(work, local, r, victims, left)
+		if k < 0 {
 			return nil, nil, 0
 		}
-		used[v] = true
+		v := left[k]
+		left = append(left[:k], left[k+1:]...)
 		stopped = append(stopped, v)
 		cost += victims[v].Cost
 		for i, f := range victims[v].Frees {
-			before := r.Fit(&work[i])
-			work[i].Free = work[i].Free.Add(f)
-			if here[i] {
-				room += r.Fit(&work[i]) - before
+			if l, ok := local[i]; ok {
+				before := r.Fit(&work[l])
+				work[l].Free = work[l].Free.Add(f)
+				room += r.Fit(&work[l]) - before
 			}
 		}
 	}
-	return Fill(work, at, r), stopped, cost
+	all := make([]int, len(at))
+	for k := range all {
+		all[k] = k
+	}
+	places = Fill(work, all, r)
+	for k := range places {
+		places[k] = at[places[k]]
+	}
+	return places, stopped, cost
 }
 
-// cheapest returns the unused victim that frees the most for its cost, or -1. A
-// victim that frees part of a place counts by that part.
-func cheapest(seats []Seat, here map[int]bool, r *Request, victims []Victim, used []bool) int {
+// cheapest returns the position in left of the victim that frees the most for its
+// cost, or -1. A victim that frees part of a place counts by that part.
+func cheapest(work []Seat, local map[int]int, r *Request, victims []Victim, left []int) int {
 	best, bestGain := -1, 0.0
-	need := r.Step.Reserved().Weight()
-	for v := range victims {
-		if used[v] {
-			continue
-		}
+	need := max(1, r.Step.Reserved().Weight())
+	for k, v := range left {
 		gain := 0.0
 		for i, f := range victims[v].Frees {
-			if !here[i] || seats[i].Closed {
+			l, ok := local[i]
+			if !ok || work[l].Closed {
 				continue
 			}
-			after := seats[i]
-			after.Free = after.Free.Add(f)
-			gain += float64(r.Fit(&after) - r.Fit(&seats[i]))
-			gain += partialGain * min(1, f.Weight()/max(1, need))
+			seat := &work[l]
+			gain += float64(r.fit(seat, seat.Free.Add(f)) - r.Fit(seat))
+			gain += partialGain * min(1, f.Weight()/need)
 		}
 		if gain == 0 {
 			continue
 		}
 		if g := gain / (1 + victims[v].Cost); best < 0 || g > bestGain {
-			best, bestGain = v, g
+			best, bestGain = k, g
 		}
 	}
 	return best
--- a/internal/yard/foreman/attempt.go
+++ b/internal/yard/foreman/attempt.go
@@ -178,6 +178,7 @@
 	}
 	a.frees = nil
 	s.planDue = true
+	s.freed++
 }
 
 // stop orders an attempt to end. Attempts that were never started are taken back.
--- a/internal/yard/foreman/plan.go
+++ b/internal/yard/foreman/plan.go
@@ -53,13 +53,43 @@
 			f = s.floor(r.spec.Service)
 			floors[r.spec.Service] = f
 		}
-		if len(f.seats) == 0 || s.needsAdvice(r, f) {
+		if len(f.seats) == 0 || s.hopeless(r) || s.needsAdvice(r, f) {
 			continue
 		}
 		s.place(r, f)
 	}
 }
 
+// tried is a look for places that found none.
+type tried struct {
+	at, freed int64
+}
+
+// tryAgain is the time after which places are looked for again although nothing has
+// become free: a request may use more places with its age. In milliseconds.
+const tryAgain = 250
+
+// lesserEvery is the least time between two looks for places for work that is not
+// urgent, in milliseconds.
+const lesserEvery = 60
+
+// hopeless reports whether a request need not be tried, since nothing has become
+// free since the last time, and notes that it is tried otherwise.
+func (s *State) hopeless(r *request) bool {
+	n := stepName(r.job, r.occurrence, r.step)
+	last, ok := r.tried[n]
+	if ok && s.now < last.at+tryAgain {
+		if last.freed == s.freed || r.rank >= rankOther && s.now < last.at+lesserEvery {
+			return true
+		}
+	}
+	if r.tried == nil {
+		r.tried = make(map[order.Name]tried)
+	}
+	r.tried[n] = tried{at: s.now, freed: s.freed}
+	return false
+}
+
 // requests returns the steps with waiting tasks whose turn has come, the most
 // important first.
 func (s *State) requests() []request {
@@ -187,11 +217,12 @@
 // prepare marks the seats for one request.
 func (s *State) prepare(r *request, f *floor) {
 	step := &r.spec.Steps[r.step]
+	avoid := r.avoid[r.step]
+	advised := s.isAdvised(r.job)
 	for i := range f.seats {
-		seat := &f.seats[i]
-		w := f.workers[i]
-		seat.Avoided = r.avoid[r.step][w.ID] || w.strikes > 0
-		seat.Closed = f.held[i] && r.rank >= rankOther || !s.allowed(r, w)
+		seat, w := &f.seats[i], f.workers[i]
+		seat.Avoided = w.strikes > 0 || len(avoid) > 0 && avoid[w.ID]
+		seat.Closed = f.held != nil && f.held[i] && r.rank >= rankOther || advised && !s.allowed(r, w)
 		seat.Taken = 0
 		if step.PerWorker > 0 {
 			for n := range w.attempts {
@@ -335,11 +366,14 @@
 // displaceInRack stops others on the rack where that loses the least.
 func (s *State) displaceInRack(r *request, f *floor, need *crew.Request) bool {
 	for _, least := range displaceable(r) {
-		units, victims := s.victims(f, least)
+		units, victims, byRack := s.victims(f, least)
 		var places, stopped []int
 		best := -1.0
 		for _, rack := range sortedKeys(f.racks) {
-			p, v, cost := crew.MakeRoom(f.seats, f.racks[rack], need, victims)
+			if len(byRack[rack]) == 0 {
+				continue
+			}
+			p, v, cost := crew.MakeRoom(f.seats, f.racks[rack], need, victims, byRack[rack])
 			if len(p) == need.Tasks && (best < 0 || cost < best) {
 				places, stopped, best = p, v, cost
 			}
@@ -365,8 +399,12 @@
 // displace stops others anywhere for tasks that find no room.
 func (s *State) displace(r *request, f *floor, indices []int, need *crew.Request, at []int) {
 	for _, least := range displaceable(r) {
-		units, victims := s.victims(f, least)
-		places, stopped, _ := crew.MakeRoom(f.seats, at, need, victims)
+		units, victims, _ := s.victims(f, least)
+		among := make([]int, len(victims))
+		for i := range among {
+			among[i] = i
+		}
+		places, stopped, _ := crew.MakeRoom(f.seats, at, need, victims, among)
 		if len(places) == need.Tasks {
 			s.takePlaces(r, f, indices, places, pick(units, stopped))
 			return
@@ -391,12 +429,11 @@
 	return ks
 }
 
-// victims returns the units of a rank or a higher one that may be stopped, and what
-// each frees.
-func (s *State) victims(f *floor, least int) ([]*unit, []crew.Victim) {
-	var units []*unit
-	var victims []crew.Victim
+// victims returns the units of a rank or a higher one that may be stopped, what each
+// frees, and which of them are on each rack.
+func (s *State) victims(f *floor, least int) (units []*unit, victims []crew.Victim, byRack map[string][]int) {
 	at := make(map[*unit]int)
+	byRack = make(map[string][]int)
 	for i, w := range f.workers {
 		for _, a := range sorted(w.attempts) {
 			if a.stray || a.phase == phaseStopping || a.phase == phasePlanned || s.rank(a.job) < least ||
@@ -412,9 +449,16 @@
 			}
 			victims[n].Frees[i] = victims[n].Frees[i].Add(a.need)
 			victims[n].Cost += s.lost(a)
+			if on := byRack[w.rack]; len(on) == 0 || on[len(on)-1] != n {
+				byRack[w.rack] = append(on, n)
+			}
 		}
 	}
-	return units, victims
+	for rack, on := range byRack {
+		slices.Sort(on)
+		byRack[rack] = slices.Compact(on)
+	}
+	return units, victims, byRack
 }
 
 // restartCost is what any stop costs, in core seconds: the work is queued again.
--- a/internal/yard/foreman/state.go
+++ b/internal/yard/foreman/state.go
@@ -97,6 +97,8 @@
 
 	planDue  bool
 	planned  int64
+	// freed counts what may have made room.
+	freed int64
 	resigned bool
 	out      []Effect
 }
@@ -118,6 +120,8 @@
 	// guaranteed is set while the organisation's guarantee covers the job.
 	guaranteed bool
 	dirty      bool
+	// tried has the last look for places of each step.
+	tried map[order.Name]tried
 }
 
 // Start takes over the jobs of the book. It must be called once, before Apply.
--- a/internal/yard/foreman/worker.go
+++ b/internal/yard/foreman/worker.go
@@ -174,6 +174,7 @@
 	s.compare(w, e)
 	if first {
 		s.planDue = true
+		s.freed++
 	}
 	if len(w.acks) > 0 {
 		// The next hold acknowledges the ends, once they are recorded. When the store is
