--- a/internal/yard/drill/world.go
+++ b/internal/yard/drill/world.go
@@ -104,9 +104,7 @@
 		jobs: make(map[string]*jobFacts), gangs: make(map[gangKey]*gang), now: 1,
 	}
 	for i := range p.Workers {
-		k := &worker{w: w, id: fmt.Sprintf("w%03d", i), rack: fmt.Sprintf("r%d", i/p.Rack), rate: 0.98 + 0.02*w.rand.Float64()}
-		w.workers = append(w.workers, k)
-		k.boot()
+		w.addWorker(i)
 	}
 	w.after(10, func() { w.takeOver(true) })
 	for i := range p.Jobs {
@@ -119,6 +117,13 @@
 	return w
 }
 
+// addWorker adds the worker with a number.
+func (w *World) addWorker(i int) {
+	k := &worker{w: w, id: fmt.Sprintf("w%03d", i), rack: fmt.Sprintf("r%d", i/w.Rack), rate: 0.98 + 0.02*w.rand.Float64()}
+	w.workers = append(w.workers, k)
+	k.boot()
+}
+
 // Run plays until a time.
 func (w *World) Run(until int64) {
 	for len(w.queue) > 0 && w.queue[0].at <= until {
