--- /dev/null
+++ b/internal/desk/clerk/clerk_test.go
@@ -0,0 +1,253 @@
+package clerk_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetrelay/limpetrelay/internal/desk/clerk"
+	"github.com/limpetrelay/limpetrelay/internal/desk/setup"
+	"github.com/limpetrelay/limpetrelay/internal/yard/order"
+	"github.com/limpetrelay/limpetrelay/platform"
+	"github.com/limpetrelay/limpetrelay/standin/emulator"
+)
+
+const (
+	queue  = "queue.example"
+	prefix = "/plans/"
+	key    = "key-a"
+	id     = "0123456789abcdef"
+)
+
+// site is a store and the hosts on it.
+type site struct {
+	t       *testing.T
+	store   *emulator.Store
+	address string
+	version int
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{t: t, store: &emulator.Store{}}
+	server := httptest.NewServer(s.store.Handler())
+	t.Cleanup(server.Close)
+	s.address = server.Listener.Addr().String()
+	return s
+}
+
+// configure writes the next version with the given keys.
+func (s *site) configure(keys ...string) {
+	s.version++
+	b, err := json.Marshal(map[string]any{
+		"version": s.version,
+		"routes": []map[string]any{{
+			"name": "plans", "host": queue, "path_prefix": prefix, "service": "service", "max_attempts": 3,
+			"stretch_factor": 3, "slo_ms": 500, "timeout_ms": 3000,
+		}},
+		"services": []map[string]any{{"name": "service", "rejects_overload": true}},
+		"tenants":  []map[string]any{{"name": "crew", "keys": keys}},
+		"limits":   map[string]any{"body_bytes": 4096},
+	})
+	require.NoError(s.t, err)
+	s.store.Put(platform.TopicConfiguration, platform.KeyConfiguration, b)
+}
+
+// host starts a host; stop ends it at once. The host's clock runs ahead by skip
+// milliseconds, as after a freeze.
+func (s *site) host(name string) (h *clerk.Host, skip *atomic.Int64, stop func()) {
+	c := platform.NewHTTPClient()
+	w := platform.Workers{Client: c}
+	skip = &atomic.Int64{}
+	began := time.Now()
+	h = &clerk.Host{
+		Settings:    setup.Settings{Host: name, Revocation: 5000, MaxLease: 10_000, CallBytes: 1 << 20, CoreShare: 1},
+		Incarnation: name + "-1", Logger: slog.New(slog.DiscardHandler),
+		Seams: clerk.Seams{
+			Store: platform.NewStore(c, s.address),
+			Topics: clerk.Topics{
+				Configuration: platform.TopicConfiguration, Workers: platform.TopicWorkers, Status: platform.TopicStatus,
+				Jobs: platform.TopicJobs, ConfigurationKey: platform.KeyConfiguration,
+			},
+			DecodeConfiguration: platform.DecodeConfiguration, DecodeWorker: platform.DecodeWorker,
+			Start: w.Start, Stop: w.Stop, Hold: w.Hold,
+			Steady: func() int64 { return time.Since(began).Milliseconds() + 100_000 + skip.Load() },
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- h.Run(ctx) }()
+	stopped := false
+	stop = func() {
+		if !stopped {
+			stopped = true
+			cancel()
+			require.NoError(s.t, <-ended)
+		}
+	}
+	s.t.Cleanup(stop)
+	return h, skip, stop
+}
+
+func (s *site) ready(h *clerk.Host) {
+	s.t.Helper()
+	require.Eventually(s.t, func() bool { ok, _ := h.Ready(); return ok }, 5*time.Second, 5*time.Millisecond)
+}
+
+// call makes a call; the job has one task.
+func call(h *clerk.Host, v clerk.Verb, path, k string, timeout time.Duration) clerk.Answer {
+	return h.Serve(context.Background(), &clerk.Call{
+		Verb: v, Host: queue, Path: path, Key: k, Timeout: timeout, ValidID: platform.ValidID,
+		Decode: func(int) (order.Spec, error) {
+			return platform.DecodeJob([]byte(`{"spec":"x","steps":[{"count":1,"cpu":1000,"est_ms":500}]}`))
+		},
+	})
+}
+
+// Claims at the same end look like repeats of one call to the store; still only one
+// host may hold the role.
+func TestOneHostHoldsTheRole(t *testing.T) {
+	s := newSite(t)
+	s.configure(key)
+	hosts := map[*clerk.Host]func(){}
+	for i := range 5 {
+		h, _, stop := s.host(fmt.Sprint("host", i))
+		hosts[h] = stop
+	}
+	leaders := func() (n int, last *clerk.Host) {
+		for h := range hosts {
+			if h.Leading() {
+				n, last = n+1, h
+			}
+		}
+		return n, last
+	}
+	require.Eventually(t, func() bool { n, _ := leaders(); return n > 0 }, 5*time.Second, time.Millisecond)
+	time.Sleep(500 * time.Millisecond)
+	n, first := leaders()
+	require.Equal(t, 1, n)
+	hosts[first]()
+	delete(hosts, first)
+	require.Eventually(t, func() bool { n, _ := leaders(); return n == 1 }, 5*time.Second, time.Millisecond)
+}
+
+func TestAnswers(t *testing.T) {
+	s := newSite(t)
+	h, _, _ := s.host("host")
+	assert.Equal(t, clerk.NotRun, call(h, clerk.Submit, prefix+id, key, time.Second).Outcome, "before the configuration")
+	s.configure(key)
+	s.ready(h)
+	for _, c := range []struct {
+		name, path, key string
+		verb            clerk.Verb
+		want            clerk.Outcome
+	}{
+		{"unknown key", prefix + id, "other", clerk.Submit, clerk.NoKey},
+		{"no key", prefix + id, "", clerk.Ask, clerk.NoKey},
+		{"unknown queue", "/other/" + id, key, clerk.Submit, clerk.NoQueue},
+		{"short ID", prefix + "12", key, clerk.Submit, clerk.Malformed},
+		{"long ID", prefix + id + "0", key, clerk.Submit, clerk.Malformed},
+		{"unknown job", prefix + id, key, clerk.Ask, clerk.NoJob},
+		{"cancel of an unknown job", prefix + id, key, clerk.Cancel, clerk.NoJob},
+		{"empty queue", prefix, key, clerk.Ask, clerk.Counted},
+		{"job", prefix + id, key, clerk.Submit, clerk.Done},
+		{"the same job again", prefix + id, key, clerk.Submit, clerk.Done},
+	} {
+		assert.Equal(t, c.want, call(h, c.verb, c.path, c.key, time.Second).Outcome, c.name)
+	}
+	require.Eventually(t, func() bool { return call(h, clerk.Ask, prefix+id, key, time.Second).State == order.Queued },
+		time.Second, 5*time.Millisecond)
+	assert.Equal(t, 1, call(h, clerk.Ask, prefix, key, time.Second).Waiting)
+	other := clerk.Call{
+		Verb: clerk.Submit, Host: queue, Path: prefix + id, Key: key, ValidID: platform.ValidID,
+		Decode: func(int) (order.Spec, error) {
+			return platform.DecodeJob([]byte(`{"spec":"y","steps":[{"count":1}]}`))
+		},
+	}
+	assert.Equal(t, clerk.KeyReused, h.Serve(context.Background(), &other).Outcome)
+	assert.Equal(t, clerk.Done, call(h, clerk.Cancel, prefix+id, key, time.Second).Outcome)
+}
+
+func TestWithdrawnKey(t *testing.T) {
+	s := newSite(t)
+	s.configure(key, "key-b")
+	h, _, _ := s.host("host")
+	s.ready(h)
+	assert.Equal(t, clerk.NoJob, call(h, clerk.Ask, prefix+id, "key-b", time.Second).Outcome)
+	s.configure(key)
+	require.Eventually(t, func() bool { return call(h, clerk.Ask, prefix+id, "key-b", time.Second).Outcome == clerk.NoKey },
+		2*time.Second, 5*time.Millisecond)
+}
+
+// A host that was frozen, or is cut off, does not trust what it knows.
+func TestFrozenHostServesNothingOnOldKnowledge(t *testing.T) {
+	s := newSite(t)
+	s.configure(key)
+	h, skip, _ := s.host("host")
+	s.ready(h)
+	s.store.SetDown(true)
+	skip.Add(4000)
+	assert.Equal(t, clerk.NotRun, call(h, clerk.Ask, prefix+id, key, time.Second).Outcome, "an old book denies no job")
+	assert.Equal(t, clerk.NotRun, call(h, clerk.Ask, prefix+id, "other", time.Second).Outcome, "an old configuration denies no key")
+	skip.Add(1000)
+	a := call(h, clerk.Submit, prefix+id, key, time.Second)
+	assert.Equal(t, clerk.NotRun, a.Outcome, "a key does not count on an old proof")
+	assert.Positive(t, a.Again)
+	s.store.SetDown(false)
+	require.Eventually(t, func() bool { return call(h, clerk.Submit, prefix+id, key, time.Second).Outcome == clerk.Done },
+		5*time.Second, 20*time.Millisecond)
+}
+
+// An append whose answer is lost may be in the store, so the request is not refused.
+func TestLostAnswerIsNoRefusal(t *testing.T) {
+	s := newSite(t)
+	s.configure(key)
+	h, _, _ := s.host("host")
+	s.ready(h)
+	require.Eventually(t, h.Leading, 5*time.Second, time.Millisecond)
+	s.store.SetLost(1)
+	a := call(h, clerk.Submit, prefix+id, key, 300*time.Millisecond)
+	assert.Equal(t, clerk.NotKnown, a.Outcome)
+	s.store.SetLost(0)
+	require.Eventually(t, func() bool { return call(h, clerk.Submit, prefix+id, key, time.Second).Outcome == clerk.Done },
+		5*time.Second, 20*time.Millisecond)
+	assert.Equal(t, clerk.Told, call(h, clerk.Ask, prefix+id, key, time.Second).Outcome)
+}
+
+// A store that refuses is told from one that does not answer: nothing was done.
+func TestStoreDownIsRefusedAtOnce(t *testing.T) {
+	s := newSite(t)
+	s.configure(key)
+	h, _, _ := s.host("host")
+	s.ready(h)
+	s.store.SetDown(true)
+	began := time.Now()
+	a := call(h, clerk.Submit, prefix+id, key, 3*time.Second)
+	assert.Equal(t, clerk.NotRun, a.Outcome)
+	assert.Positive(t, a.Again)
+	assert.Less(t, time.Since(began), 1500*time.Millisecond)
+	assert.True(t, strings.Contains(a.Message, "nothing was done"), a.Message)
+}
+
+// Dropped history is made up for by the newest records.
+func TestForgottenHistory(t *testing.T) {
+	s := newSite(t)
+	s.configure(key)
+	h, _, _ := s.host("host")
+	s.ready(h)
+	require.Equal(t, clerk.Done, call(h, clerk.Submit, prefix+id, key, time.Second).Outcome)
+	s.store.Forget(platform.TopicJobs)
+	s.store.Forget(platform.TopicConfiguration)
+	late, _, _ := s.host("late")
+	s.ready(late)
+	require.Eventually(t, func() bool { return call(late, clerk.Ask, prefix+id, key, time.Second).Outcome == clerk.Told },
+		3*time.Second, 5*time.Millisecond)
+}
--- a/internal/desk/clerk/lead.go
+++ b/internal/desk/clerk/lead.go
@@ -101,7 +101,7 @@
 			break
 		}
 	}
-	h.Logger.Info("claim failed", slog.Uint64("at", at), slog.String("error", err.Error()))
+	h.Logger.Info("claim failed", slog.Uint64("at", at), slog.Any("error", err))
 	return 0, false
 }
 
