Seats stay kept for a gang between passes, and no more of them than it needs

Ruled out: waiting for the data's rack; the job was older than its estimate. Change: the kept seats are remembered until the gang is placed or late, are just as many as it needs, and none when it can never fit. TestGangOfARackStartsAmongSmallWork plays that load.

--- a/internal/desk/clerk/follow.go
+++ b/internal/desk/clerk/follow.go
@@ -14,7 +14,10 @@
 const (
 	// followWait is how long a read waits for news. It bounds the age of the proofs
 	// that the reads give.
-	followWait = 900 * time.Millisecond
+	followWait = 1200 * time.Millisecond
+	// followerGap is the least time between two reads of the jobs by a host that does
+	// not coordinate: it only shows them, and each call to the store is paid for.
+	followerGap = 150 * time.Millisecond
 	// followPause is the pause after a failed read.
 	followPause = 150 * time.Millisecond
 	// newestTimeout bounds the reading of one part of the newest records.
@@ -26,7 +29,8 @@
 	*Host
 	topic string
 	// wait is how long a read may wait for news, and gap the least time between reads.
-	wait, gap time.Duration
+	wait time.Duration
+	gap  func() time.Duration
 	// reset is called before the newest records are taken, take with each record and
 	// caughtUp when the end was reached by a read that was sent at a time. after is
 	// called once the newest records have been taken.
@@ -54,7 +58,9 @@
 		}
 		if err == nil {
 			f.down.ok(f.topic)
-			retry.Pause(ctx, f.gap)
+			if f.gap != nil {
+				retry.Pause(ctx, f.gap())
+			}
 			continue
 		}
 		if fault.KindOf(err) == fault.Gap {
@@ -157,7 +163,7 @@
 // followJobs keeps the book up to date.
 func (h *Host) followJobs(ctx context.Context) {
 	f := &follower{
-		Host: h, topic: h.Topics.Jobs, wait: followWait,
+		Host: h, topic: h.Topics.Jobs, wait: followWait, gap: h.jobsGap,
 		reset: func() {
 			h.mu.Lock()
 			defer h.mu.Unlock()
@@ -174,6 +180,14 @@
 	f.follow(ctx)
 }
 
+// jobsGap returns the least time between two reads of the jobs.
+func (h *Host) jobsGap() time.Duration {
+	if h.Leading() {
+		return 0
+	}
+	return followerGap
+}
+
 // takeJob applies a record of the book and tells the coordinator.
 func (h *Host) takeJob(e shelf.Entry) {
 	h.mu.Lock()
--- a/internal/desk/clerk/lead.go
+++ b/internal/desk/clerk/lead.go
@@ -370,7 +370,7 @@
 	known := make(map[string]bool)
 	var listed map[string]bool
 	f := &follower{
-		Host: l.Host, topic: l.Topics.Workers, wait: workersWait, gap: workersGap,
+		Host: l.Host, topic: l.Topics.Workers, wait: workersWait, gap: func() time.Duration { return workersGap },
 		reset: func() { listed = make(map[string]bool) },
 		after: func() {
 			for id := range known {
--- a/internal/yard/foreman/attempt.go
+++ b/internal/yard/foreman/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math"
 
 	"github.com/limpetrelay/limpetrelay/internal/yard/crew"
 	"github.com/limpetrelay/limpetrelay/internal/yard/order"
@@ -191,9 +192,11 @@
 		s.void(a.unit, why)
 		return
 	}
+	lost := s.lost(a)
 	a.phase, a.why = phaseStopping, why
 	s.line("stopping", slog.String("id", a.job.id), slog.Int("step", a.step), slog.Int("index", a.index),
-		slog.Int("run", a.run), slog.String("worker", a.w.ID), slog.String("why", why))
+		slog.Int("run", a.run), slog.String("worker", a.w.ID), slog.Float64("lostCoreSeconds", math.Round(lost)),
+		slog.String("why", why))
 	s.sendStop(a)
 }
 
--- a/internal/yard/foreman/load_test.go
+++ b/internal/yard/foreman/load_test.go
@@ -34,3 +34,34 @@
 		assert.Equal(t, 4, r.Starts, "no urgent gang is displaced: %+v", r)
 	}
 }
+
+// Pattern: a gang that no workers can hold waits before a stream of small work. The
+// small work runs at once.
+func TestGangThatNeverFitsBlocksNobody(t *testing.T) {
+	p := drill.Plan{Workers: 8, Configuration: configuration(0)}
+	for i := range 2 {
+		s := gang(fmt.Sprintf("big%d", i), 20, 8, 20_000, 1)
+		s.Steps[0].SameRack = i == 0
+		p.Jobs = append(p.Jobs, drill.Arrival{At: 1000, Spec: s, CancelAt: 40_000})
+	}
+	for i := range 10 {
+		p.Jobs = append(p.Jobs, drill.Arrival{At: int64(4000 + 500*i), Spec: batch(fmt.Sprintf("b%02d", i), 4, 2000)})
+	}
+	w := play(t, p, 60_000)
+	for _, r := range w.Results()[2:] {
+		assert.Less(t, r.Waited, int64(500), "%+v", r)
+	}
+}
+
+// Pattern: small work without end, and a gang that needs a whole rack. The rack is
+// kept for the gang once it has waited, until it starts.
+func TestGangOfARackStartsAmongSmallWork(t *testing.T) {
+	p := drill.Plan{Workers: 8, Configuration: configuration(0)}
+	p.Jobs = append(p.Jobs, drill.Arrival{At: 3000, Spec: gang("big", 8, 8, 9000, 1)})
+	for i := range 80 {
+		p.Jobs = append(p.Jobs, drill.Arrival{At: int64(500 + 300*i), Spec: batch(fmt.Sprintf("b%02d", i), 7, 3000)})
+	}
+	w := play(t, p, 120_000)
+	big := w.Results()[0]
+	assert.Less(t, big.Waited, int64(6000), "%+v", big)
+}
--- a/internal/yard/foreman/state.go
+++ b/internal/yard/foreman/state.go
@@ -97,6 +97,8 @@
 
 	planDue  bool
 	planned  int64
+	// kept has the seats that are kept for a gang, by service.
+	kept map[string]*kept
 	// freed counts what may have made room.
 	freed int64
 	resigned bool
