A silent worker gets no new lease

Each hold to a worker carried a new lease, also while the worker did not answer; since it might have taken the last one unseen, its lease never counted as run out. Change: a worker that does not answer is asked without a lease. TestGoneWorkersTasksStartElsewhere fails without it.

--- a/internal/yard/foreman/foreman_test.go
+++ b/internal/yard/foreman/foreman_test.go
@@ -221,3 +221,18 @@
 		assert.LessOrEqual(t, r.Starts, 4, "nothing lapses: %+v", r)
 	}
 }
+
+// The tasks of a worker that is gone for good start elsewhere once its lease has run
+// out, however often it was asked in between.
+func TestGoneWorkersTasksStartElsewhere(t *testing.T) {
+	p := drill.Plan{Workers: 8, Configuration: configuration(0)}
+	for i := range 8 {
+		p.Jobs = append(p.Jobs, drill.Arrival{At: 1000, Spec: batch(fmt.Sprintf("b%d", i), 4, 6000)})
+	}
+	p.Faults = []drill.Fault{{At: 3000, Kind: drill.Crash, Count: 3}}
+	w := play(t, p, 60_000)
+	requireEnded(t, w, order.Completed)
+	for _, r := range w.Results() {
+		assert.Less(t, r.Took, int64(2000+7000+6500), "%+v", r)
+	}
+}
--- a/internal/yard/foreman/worker.go
+++ b/internal/yard/foreman/worker.go
@@ -333,6 +333,10 @@
 		if w.silentSince != 0 {
 			h.Wait = 0
 		}
+	}
+	// A worker that does not answer gets no new lease: it could take it unseen, and its
+	// tasks could never be started elsewhere.
+	if w.verified && w.silentSince == 0 {
 		h.Lease = w.clockNow(s.now) + s.Lease
 		w.leased(h.Lease)
 	}
