A coordinator that hears from few workers gives the role up; smaller records

After the loss of all power the new coordinator did not hear from 167 of 330 workers, those of the other region, for 17 s: the 60 Mbit/s between the regions were full. All hosts of the far region read every record of progress, and a record named the last worker of tasks that had ended or waited. Starts went unanswered, leases ran out. Ruled out: the coordinator's processor; it has 0.8 of a core. Change: more than half of the listed workers silent for 1.6 s is taken for the host's own trouble, and the role is handed over; records forget the worker of a task that does not run. TestCoordinatorThatHearsNobodyResigns, TestProgressIsSmall.

--- a/internal/desk/clerk/host.go
+++ b/internal/desk/clerk/host.go
@@ -51,8 +51,10 @@
 	jobsProof atomic.Int64
 	// roundTrip is how long the store takes for a short answer, in milliseconds.
 	roundTrip atomic.Int64
-	draining  atomic.Bool
-	leading   atomic.Bool
+	// unfitUntil is when this host may claim the role again; only takeRoles uses it.
+	unfitUntil int64
+	draining   atomic.Bool
+	leading    atomic.Bool
 
 	writer writer
 	down   dependencies
--- a/internal/desk/clerk/lead.go
+++ b/internal/desk/clerk/lead.go
@@ -27,9 +27,14 @@
 	roleFresh = 1500
 	// roleSpread spreads the hosts' claims, in milliseconds.
 	roleSpread = 120
-	// smallHostDelay is how much later a host claims per missing core, in milliseconds:
-	// coordinating takes processor time.
-	smallHostDelay = 200
+	// fitShare is the share of a core that coordinating hundreds of workers takes, and
+	// smallHostDelay how much later a host without any would claim, in milliseconds. A
+	// small host coordinates only when no other does.
+	fitShare       = 0.4
+	smallHostDelay = 3000
+	// unfitFor is how long a host leaves the role to others after it has given it up, in
+	// milliseconds.
+	unfitFor = 5000
 	// tickEvery is the time between two events that only move the time.
 	tickEvery = 50 * time.Millisecond
 	// eventBuffer is the number of events that may wait for the coordinator.
@@ -54,7 +59,7 @@
 		return 0, false
 	}
 	now := h.now()
-	if now-h.jobsProof.Load() > roleFresh {
+	if now-h.jobsProof.Load() > roleFresh || now < h.unfitUntil {
 		return 0, false
 	}
 	h.mu.Lock()
@@ -77,7 +82,7 @@
 	f := fnv.New32a()
 	f.Write([]byte(h.Name()))
 	spread := int64(f.Sum32() % roleSpread)
-	missing := max(0, 1-h.CoreShare)
+	missing := max(0, 1-h.CoreShare/fitShare)
 	return spread + 3*h.roundTrip.Load() + int64(missing*smallHostDelay)
 }
 
@@ -169,9 +174,10 @@
 	cancel()
 	<-ends
 	<-ends
-	if resigned {
-		l.handOver(context.WithoutCancel(ctx))
+	if !resigned {
+		h.unfitUntil = h.now() + unfitFor
 	}
+	l.handOver(context.WithoutCancel(ctx))
 }
 
 // leaseTime is how long a worker runs on without a renewal, in milliseconds. A
--- a/internal/yard/drill/coordinator.go
+++ b/internal/yard/drill/coordinator.go
@@ -9,6 +9,9 @@
 const (
 	// tickEvery is the time between two ticks, in milliseconds.
 	tickEvery = 50
+	// takeOverTime is the time between a coordinator's end and the next one's claim, in
+	// milliseconds.
+	takeOverTime = 1500
 	// orderTimeout is when an order counts as unanswered, in milliseconds.
 	orderTimeout = 500
 )
@@ -79,6 +82,9 @@
 			c.hold(e.Hold)
 		case e.Resign != "":
 			c.dead = true
+			if c.w.lead == c {
+				c.w.after(takeOverTime, func() { c.w.takeOver(false) })
+			}
 		}
 	}
 }
--- a/internal/yard/foreman/attempt.go
+++ b/internal/yard/foreman/attempt.go
@@ -148,7 +148,7 @@
 	for _, a := range append([]*attempt(nil), u.attempts...) {
 		s.drop(a)
 		if t := a.task(); t != nil && t.Phase == order.Placed {
-			t.Phase = order.Waiting
+			t.Unplace()
 		}
 	}
 	s.changed(u.job)
@@ -340,7 +340,7 @@
 		return
 	}
 	if t.Phase == order.Placed {
-		t.Phase = order.Waiting
+		t.Unplace()
 	}
 	gang := u.spec().Gang
 	if how == crew.EndFailed && !j.prog.State.Ended() {
@@ -358,8 +358,7 @@
 
 // done notes a successful end, which for a gang is that of all members.
 func (s *State) done(u *unit, t *order.Task) {
-	t.Phase = order.Done
-	t.Checkpoint, t.Worker = "", ""
+	t.Finish()
 	if !u.spec().Gang {
 		return
 	}
@@ -368,7 +367,7 @@
 	}
 	tasks := u.job.prog.Rounds[u.occurrence][u.step]
 	for i := range tasks {
-		tasks[i].Phase, tasks[i].Checkpoint, tasks[i].Worker = order.Done, "", ""
+		tasks[i].Finish()
 	}
 }
 
--- a/internal/yard/foreman/foreman_test.go
+++ b/internal/yard/foreman/foreman_test.go
@@ -236,3 +236,20 @@
 		assert.Less(t, r.Took, int64(2000+7000+6500), "%+v", r)
 	}
 }
+
+// A coordinator that hears from few workers leaves the role to another host instead
+// of waiting for their leases.
+func TestCoordinatorThatHearsNobodyResigns(t *testing.T) {
+	p := drill.Plan{Workers: 12, Configuration: configuration(0)}
+	for i := range 12 {
+		p.Jobs = append(p.Jobs, drill.Arrival{At: 1000, Spec: batch(fmt.Sprintf("b%02d", i), 4, 12_000)})
+	}
+	p.Faults = []drill.Fault{{At: 6000, For: 4500, Kind: drill.Cut, Count: 10}}
+	w := play(t, p, 90_000)
+	requireEnded(t, w, order.Completed)
+	assert.Positive(t, w.Lines["role lost"])
+	p.Faults[0].Count = 4
+	w = play(t, p, 90_000)
+	requireEnded(t, w, order.Completed)
+	assert.Zero(t, w.Lines["role lost"], "a minority that is silent is the workers' own trouble")
+}
--- a/internal/yard/foreman/state.go
+++ b/internal/yard/foreman/state.go
@@ -1,6 +1,7 @@
 package foreman
 
 import (
+	"fmt"
 	"log/slog"
 
 	"github.com/limpetrelay/limpetrelay/internal/yard/book"
@@ -262,11 +263,41 @@
 	for _, w := range s.workers {
 		s.watch(w)
 	}
+	s.resignIfAlone()
 	s.openRounds()
 	s.forget()
 	s.planDue = true
 }
 
+const (
+	// aloneAfter is the least time in the role before it is given up for silence, in
+	// milliseconds: the first calls to all workers take a while.
+	aloneAfter = 4000
+	// aloneLeast is the number of workers below which silence tells nothing.
+	aloneLeast = 8
+)
+
+// resignIfAlone gives the role up when most workers do not answer: the likelier cause
+// is this host or its network, and another host should not have to wait for leases.
+func (s *State) resignIfAlone() {
+	if s.now-s.began < aloneAfter {
+		return
+	}
+	listed, silent := 0, 0
+	for _, w := range s.workers {
+		if !w.entry {
+			continue
+		}
+		listed++
+		if s.silent(w) > s.HoldWait+orderAgain {
+			silent++
+		}
+	}
+	if listed >= aloneLeast && 2*silent > listed {
+		s.resign(fmt.Sprintf("%d of %d workers do not answer", silent, listed))
+	}
+}
+
 // resign gives the role up.
 func (s *State) resign(why string) {
 	if s.resigned {
--- /dev/null
+++ b/internal/yard/order/order_test.go
@@ -0,0 +1,62 @@
+package order_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetrelay/limpetrelay/internal/yard/order"
+	"github.com/limpetrelay/limpetrelay/wire"
+)
+
+// Every host reads every record of progress, also over the slow link between regions.
+func TestProgressIsSmall(t *testing.T) {
+	for _, n := range []int{1, 40, 1000} {
+		tasks := make([]order.Task, n)
+		for i := range tasks {
+			tasks[i] = order.Task{Phase: order.Placed, Run: 2, Worker: "i-7f3a91c2aa", Born: 1_788_248_341_273, Checkpoint: "00000bb87a21d94b"}
+		}
+		p := order.Progress{Term: 8860, State: order.Running, Begun: true, Rounds: [][][]order.Task{{tasks}}}
+		size := func() int {
+			b, err := wire.Encode(&p)
+			require.NoError(t, err)
+			return len(b)
+		}
+		assert.Less(t, size(), 40+50*n, "placed, %d tasks", n)
+		for i := range tasks {
+			tasks[i].Unplace()
+		}
+		assert.Less(t, size(), 40+25*n, "waiting, %d tasks", n)
+		for i := range tasks {
+			tasks[i].Finish()
+		}
+		assert.Less(t, size(), 40+8*n, "done, %d tasks", n)
+	}
+}
+
+func TestFit(t *testing.T) {
+	need := order.Resources{Cores: 26_000, Memory: 75_000, Accelerators: 2}
+	for _, c := range []struct {
+		free  order.Resources
+		limit int
+		want  int
+	}{
+		{order.Resources{}, 5, 0},
+		{order.Resources{Cores: 64_000, Memory: 262_144, Accelerators: 8}, 5, 2},
+		{order.Resources{Cores: 64_000, Memory: 262_144, Accelerators: 8}, 1, 1},
+		{order.Resources{Cores: 640_000, Memory: 2_621_440, Accelerators: 3}, 5, 1},
+		{order.Resources{Cores: -1, Memory: 1 << 30, Accelerators: 8}, 5, 0},
+	} {
+		assert.Equal(t, c.want, need.Fit(c.free, c.limit), "%+v", c)
+	}
+	assert.Equal(t, 3, (order.Resources{}).Fit(order.Resources{}, 3), "what needs nothing fits everywhere")
+}
+
+func TestChain(t *testing.T) {
+	s := order.Spec{Stretch: 2, Slack: 100, Steps: []order.Step{
+		{Tasks: 1, Estimate: 10}, {Tasks: 1, Estimate: 20}, {Tasks: 1, Estimate: 5, After: []int{0, 1}},
+	}}
+	assert.Equal(t, int64(25), s.Chain())
+	assert.Equal(t, int64(150), s.Objective())
+}
--- a/internal/yard/order/progress.go
+++ b/internal/yard/order/progress.go
@@ -43,6 +43,13 @@
 	Checkpoint string
 }
 
+// Unplace makes a placed task wait again. It forgets the worker, since every host reads
+// every record.
+func (t *Task) Unplace() { t.Phase, t.Worker, t.Born = Waiting, "", 0 }
+
+// Finish marks a task as done.
+func (t *Task) Finish() { t.Phase, t.Worker, t.Born, t.Checkpoint = Done, "", 0, "" }
+
 // Progress is the recorded state of a job. Only the coordinator writes it.
 type Progress struct {
 	// Term is the coordinator's.
