--- a/internal/desk/clerk/lead.go
+++ b/internal/desk/clerk/lead.go
@@ -146,7 +146,7 @@
 		state: foreman.State{
 			Settings: foreman.Settings{
 				Lease: min(leaseTime, b.MaxLease), GangWait: b.GangWait, FarFactor: b.FarFactor, Restore: b.Restore,
-				Kept: b.Kept, Early: b.Early, Host: h.Name(), Incarnation: h.Incarnation,
+				Kept: b.Kept, Host: h.Name(), Incarnation: h.Incarnation,
 			},
 			Term: term,
 		},
--- a/internal/desk/setup/setup.go
+++ b/internal/desk/setup/setup.go
@@ -10,10 +10,8 @@
 	CallersAddress, ReadyAddress, MetricsAddress string
 	// StoreAddress is the address of the platform's store.
 	StoreAddress string
-	// AdviceAddress and MachinesAddress are the addresses of services that need not exist.
-	AdviceAddress, MachinesAddress string
-	// Heartbeat is the time between a worker's reports.
-	Heartbeat int64
+	// AdviceAddress is the address of the advisory service; empty for none.
+	AdviceAddress string
 	// CoreShare is the part of a processor core that the host has.
 	CoreShare float64
 	MemoryMB  int64
@@ -21,23 +19,12 @@
 	MaxLease int64
 	// GangWait is how long the first member of a gang waits for the others.
 	GangWait int64
-	// StopTime is the longest time that a stop takes.
-	StopTime int64
 	// Revocation is the time after which a withdrawn key must not work anywhere.
 	Revocation int64
-	// DrainTime is the least time between a worker's notice and its end.
-	DrainTime int64
-	// Grace is the time between the signals that ask for the end and force it.
-	Grace int64
-	// Early is by how much an occurrence may start before it is due.
-	Early int64
 	// Kept is how long the state of an ended job is told.
 	Kept int64
-	// Reclaim is the time in which guaranteed jobs must start.
-	Reclaim int64
-	// Checkpoint is the work between two checkpoints, and Restore the time to
-	// resume from one.
-	Checkpoint, Restore int64
+	// Restore is the time to resume from a checkpoint.
+	Restore int64
 	// FarFactor is how much slower a task is away from its data or its gang.
 	FarFactor float64
 	// CallBytes bounds one append to the store.
--- a/internal/yard/foreman/attempt.go
+++ b/internal/yard/foreman/attempt.go
@@ -52,7 +52,7 @@
 	// born is the worker's lifetime, 0 while it is not known.
 	born  int64
 	phase phase
-	// strayNeed is set for a run that the book does not know of.
+	// stray is set for a run that the book does not want there.
 	stray bool
 	need  order.Resources
 	// tries counts the start orders, and maybe is set once one was not answered.
--- /dev/null
+++ b/internal/yard/foreman/displace.go
@@ -0,0 +1,124 @@
+package foreman
+
+import (
+	"slices"
+
+	"github.com/limpetrelay/limpetrelay/internal/yard/crew"
+	"github.com/limpetrelay/limpetrelay/internal/yard/order"
+)
+
+// displaceInRack stops others on the rack where that loses the least.
+func (s *State) displaceInRack(r *request, f *floor, need *crew.Request) bool {
+	for _, least := range displaceable(r) {
+		units, victims, byRack := s.victims(f, least)
+		var places, stopped []int
+		best := -1.0
+		for _, rack := range sortedKeys(f.racks) {
+			if len(byRack[rack]) == 0 {
+				continue
+			}
+			p, v, cost := crew.MakeRoom(f.seats, f.racks[rack], need, victims, byRack[rack])
+			if len(p) == need.Tasks && (best < 0 || cost < best) {
+				places, stopped, best = p, v, cost
+			}
+		}
+		if places != nil {
+			s.takePlaces(r, f, r.indices, places, pick(units, stopped))
+			return true
+		}
+	}
+	return false
+}
+
+// displaceable returns the lowest ranks that a request may displace, those that are
+// tried first in front: guaranteed work stops other urgent work only when stopping
+// what is not urgent makes no room.
+func displaceable(r *request) []int {
+	if r.rank == rankGuaranteed {
+		return []int{rankOther, rankUrgent}
+	}
+	return []int{rankOther}
+}
+
+// displace stops others anywhere for tasks that find no room.
+func (s *State) displace(r *request, f *floor, indices []int, need *crew.Request, at []int) {
+	for _, least := range displaceable(r) {
+		units, victims, _ := s.victims(f, least)
+		among := make([]int, len(victims))
+		for i := range among {
+			among[i] = i
+		}
+		places, stopped, _ := crew.MakeRoom(f.seats, at, need, victims, among)
+		if len(places) == need.Tasks {
+			s.takePlaces(r, f, indices, places, pick(units, stopped))
+			return
+		}
+	}
+}
+
+func pick(units []*unit, at []int) []*unit {
+	out := make([]*unit, 0, len(at))
+	for _, i := range at {
+		out = append(out, units[i])
+	}
+	return out
+}
+
+func sortedKeys(m map[string][]int) []string {
+	ks := make([]string, 0, len(m))
+	for k := range m {
+		ks = append(ks, k)
+	}
+	slices.Sort(ks)
+	return ks
+}
+
+// victims returns the units of a rank or a higher one that may be stopped, what each
+// frees, and which of them are on each rack.
+func (s *State) victims(f *floor, least int) (units []*unit, victims []crew.Victim, byRack map[string][]int) {
+	at := make(map[*unit]int)
+	byRack = make(map[string][]int)
+	for i, w := range f.workers {
+		for _, a := range sorted(w.attempts) {
+			if a.stray || a.phase == phaseStopping || a.phase == phasePlanned || s.rank(a.job) < least ||
+				a.spec().Lasting || a.job.prog.State.Ended() {
+				continue
+			}
+			n, ok := at[a.unit]
+			if !ok {
+				n = len(units)
+				at[a.unit] = n
+				units = append(units, a.unit)
+				victims = append(victims, crew.Victim{Frees: make(map[int]order.Resources), Cost: restartCost})
+			}
+			victims[n].Frees[i] = victims[n].Frees[i].Add(a.need)
+			victims[n].Cost += s.lost(a)
+			if on := byRack[w.rack]; len(on) == 0 || on[len(on)-1] != n {
+				byRack[w.rack] = append(on, n)
+			}
+		}
+	}
+	for rack, on := range byRack {
+		slices.Sort(on)
+		byRack[rack] = slices.Compact(on)
+	}
+	return units, victims, byRack
+}
+
+// restartCost is what any stop costs, in core seconds: the work is queued again.
+const restartCost = 20
+
+// lost returns the work that stopping a would lose, in core seconds.
+func (s *State) lost(a *attempt) float64 {
+	if a.startedAt == 0 {
+		return 0
+	}
+	ms := s.now - a.startedAt
+	if a.spec().Checkpoints {
+		ms = min(ms, s.Restore+stopCost)
+	}
+	return float64(ms) / 1000 * a.spec().Need.Weight()
+}
+
+// stopCost is the time in which a stopping run does no work, in milliseconds.
+const stopCost = 300
--- a/internal/yard/foreman/state.go
+++ b/internal/yard/foreman/state.go
@@ -44,8 +44,6 @@
 	Restore int64
 	// Kept is how long ended jobs are kept. Default 120000.
 	Kept int64
-	// Early is by how much an occurrence may start before it is due.
-	Early int64
 	// Host and Incarnation name the process in its records.
 	Host, Incarnation string
 }
