--- a/internal/desk/clerk/follow.go
+++ b/internal/desk/clerk/follow.go
@@ -20,8 +20,10 @@
 	followerGap = 150 * time.Millisecond
 	// followPause is the pause after a failed read.
 	followPause = 150 * time.Millisecond
-	// newestTimeout bounds the reading of one part of the newest records.
-	newestTimeout = 2 * time.Second
+	// newestTimeout bounds the reading of one part of the newest records. When all hosts
+	// of a region start at once, the link to the store carries their parts for some
+	// seconds; a read without progress fails sooner.
+	newestTimeout = 10 * time.Second
 )
 
 // follower reads a partition: the newest record of each key, then what comes after.
@@ -176,6 +178,9 @@
 		after: func() {
 			h.mu.Lock()
 			defer h.mu.Unlock()
+			if !h.loaded {
+				h.lastLife = h.book.Claim
+			}
 			h.loaded, h.claimSeen = true, h.now()
 		},
 		caughtUp: func(sent int64) { h.jobsProof.Store(sent) },
@@ -203,6 +208,9 @@
 	}
 	var ev foreman.Event
 	feed := h.feed
+	if c.Departed && h.book.Gone(&h.prior, h.Name()) {
+		ev.PriorGone = true
+	}
 	if j := h.book.Jobs[c.Job]; feed != nil && c.Job != "" && j != nil && j.Spec != nil {
 		ev.Job = &foreman.JobChanged{Spec: j.Spec, Cancelled: j.Cancelled}
 	}
@@ -211,7 +219,7 @@
 		h.Logger.Error("record cannot be read", slog.Uint64("offset", e.Offset), slog.String("error", err.Error()))
 		return
 	}
-	if ev.Job != nil {
+	if feed != nil && (ev.Job != nil || ev.PriorGone) {
 		feed(ev)
 	}
 }
--- a/internal/yard/crew/worker.go
+++ b/internal/yard/crew/worker.go
@@ -103,6 +103,8 @@
 	Verdict Verdict
 	// Clock is the worker's clock in milliseconds; 0 when there was no answer.
 	Clock int64
+	// Why says why there was no answer, for the log; empty when there was one.
+	Why string
 }
 
 // Run is a run that is on a worker.
