Tasks' progress goes to a partition that only the coordinator reads

Ruled out: smaller records alone. Change: the jobs' partition has acceptance, state and end; the details of open jobs are in keyed.details. A coordinator fences that partition before it reads it. Within a batch details go first, and are dropped one batch after the end is recorded. Weighed: filters at the store (it has none), one reader per region with a copy for its peers (more to go wrong when that host dies; not needed at these rates).

--- a/cmd/limpetrelay/front.go
+++ b/cmd/limpetrelay/front.go
@@ -101,7 +101,8 @@
 			Store: platform.NewStore(c, s.StoreAddress),
 			Topics: clerk.Topics{
 				Configuration: platform.TopicConfiguration, Workers: platform.TopicWorkers,
-				Status: platform.TopicStatus, Jobs: platform.TopicJobs, ConfigurationKey: platform.KeyConfiguration,
+				Status: platform.TopicStatus, Jobs: platform.TopicJobs, Details: platform.TopicDetails,
+				ConfigurationKey: platform.KeyConfiguration,
 			},
 			DecodeConfiguration: platform.DecodeConfiguration, DecodeWorker: platform.DecodeWorker,
 			Start: w.Start, Stop: w.Stop, Hold: w.Hold,
--- a/internal/desk/clerk/clerk_test.go
+++ b/internal/desk/clerk/clerk_test.go
@@ -79,7 +79,7 @@
 			Store: platform.NewStore(c, s.address),
 			Topics: clerk.Topics{
 				Configuration: platform.TopicConfiguration, Workers: platform.TopicWorkers, Status: platform.TopicStatus,
-				Jobs: platform.TopicJobs, ConfigurationKey: platform.KeyConfiguration,
+				Jobs: platform.TopicJobs, Details: platform.TopicDetails, ConfigurationKey: platform.KeyConfiguration,
 			},
 			DecodeConfiguration: platform.DecodeConfiguration, DecodeWorker: platform.DecodeWorker,
 			Start: w.Start, Stop: w.Stop, Hold: w.Hold,
--- /dev/null
+++ b/internal/desk/clerk/details.go
@@ -0,0 +1,45 @@
+package clerk
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/limpetrelay/limpetrelay/internal/yard/book"
+)
+
+// detailsTimeout bounds the fencing and the reading of the details. A host that needs
+// longer leaves the role to another one before the workers' leases run out.
+const detailsTimeout = 2 * time.Second
+
+// readDetails fences the partition of the details against earlier coordinators and reads
+// it. The parts that the store gives are not of one moment, but nobody writes between
+// them.
+func (l *leader) readDetails(ctx context.Context) (book.Details, error) {
+	ctx, cancel := context.WithTimeout(ctx, detailsTimeout)
+	defer cancel()
+	began := l.now()
+	r, err := book.Fence(&book.Claim{Host: l.Name(), Incarnation: l.Incarnation})
+	if err != nil {
+		return nil, err
+	}
+	if _, err = l.writeCall(ctx, &l.details, []book.Record{r}); err != nil {
+		return nil, err
+	}
+	d := make(book.Details)
+	for after, more := "", true; more; {
+		n, err := l.Store.Newest(ctx, l.details.topic, after)
+		if err != nil {
+			return nil, err
+		}
+		for _, e := range n.Entries {
+			if err := d.Apply(e.Record); err != nil {
+				return nil, err
+			}
+			after = e.Key
+		}
+		more = n.More && len(n.Entries) > 0
+	}
+	l.Logger.Info("details read", slog.Uint64("term", l.term), slog.Int("jobs", len(d)), slog.Int64("tookMs", l.now()-began))
+	return d, nil
+}
--- a/internal/desk/clerk/lead.go
+++ b/internal/desk/clerk/lead.go
@@ -143,7 +143,8 @@
 	defer cancel()
 	b := h.bounds()
 	l := &leader{
-		Host: h, events: make(chan foreman.Event, eventBuffer), sequence: 1, term: term,
+		Host: h, events: make(chan foreman.Event, eventBuffer), term: term,
+		jobs: stream{topic: h.Topics.Jobs, sequence: 1}, details: stream{topic: h.Topics.Details},
 		batches: make(chan *foreman.Record, 1),
 		state: foreman.State{
 			Settings: foreman.Settings{
@@ -153,12 +154,19 @@
 			Term: term,
 		},
 	}
+	details, err := l.readDetails(ctx)
+	if err != nil {
+		h.Logger.Warn("role given back", slog.Uint64("term", term), slog.String("why", err.Error()))
+		h.unfitUntil = h.now() + unfitFor
+		l.handOver(ctx)
+		return
+	}
 	h.leading.Store(true)
 	defer h.leading.Store(false)
 	h.Metrics.Gauge("term", float64(term))
 	ends := make(chan struct{}, 2)
 	h.mu.Lock()
-	effects := l.state.Start(h.now(), h.Wall().UnixMilli(), &h.book, h.config.Load(),
+	effects := l.state.Start(h.now(), h.Wall().UnixMilli(), &h.book, details, h.config.Load(),
 		h.book.Gone(&prior, h.Name()))
 	h.prior = prior
 	h.feed = func(e foreman.Event) { l.post(ctx, e) }
@@ -192,10 +200,17 @@
 // leader drives a coordinator.
 type leader struct {
 	*Host
-	state    foreman.State
-	events   chan foreman.Event
-	batches  chan *foreman.Record
-	term     uint64
+	state   foreman.State
+	events  chan foreman.Event
+	batches chan *foreman.Record
+	term    uint64
+	// jobs and details are the partitions that the coordinator writes to.
+	jobs, details stream
+}
+
+// stream is a partition that a coordinator writes to, with its next sequence number.
+type stream struct {
+	topic    string
 	sequence uint64
 }
 
@@ -297,7 +312,7 @@
 		case <-ctx.Done():
 			return
 		case b := <-l.batches:
-			sent, err := l.writeBatch(ctx, b.Records)
+			sent, err := l.writeBatch(ctx, b)
 			if err != nil {
 				// Only a later coordinator, or the end of this one, stops a batch.
 				l.post(ctx, foreman.Event{Replaced: err.Error()})
@@ -308,9 +323,18 @@
 	}
 }
 
-// writeBatch appends records in as many calls as their size asks for. It returns
-// when the last successful one was sent.
-func (l *leader) writeBatch(ctx context.Context, rs []book.Record) (int64, error) {
+// writeBatch appends the details of a batch and then its records. It returns when the
+// last successful append was sent.
+func (l *leader) writeBatch(ctx context.Context, b *foreman.Record) (int64, error) {
+	sent, err := l.writeAll(ctx, &l.details, b.Details)
+	if err != nil || len(b.Records) == 0 {
+		return sent, err
+	}
+	return l.writeAll(ctx, &l.jobs, b.Records)
+}
+
+// writeAll appends records in as many calls as their size asks for.
+func (l *leader) writeAll(ctx context.Context, to *stream, rs []book.Record) (int64, error) {
 	var sent int64
 	for len(rs) > 0 {
 		n, size := 0, 0
@@ -319,7 +343,7 @@
 			n++
 		}
 		var err error
-		if sent, err = l.writeCall(ctx, rs[:n]); err != nil {
+		if sent, err = l.writeCall(ctx, to, rs[:n]); err != nil {
 			return 0, err
 		}
 		rs = rs[n:]
@@ -331,13 +355,13 @@
 func recordSize(r book.Record) int { return 5 + len(r.Key) + len(r.Value) }
 
 // writeCall repeats one append until it is done or the role is lost.
-func (l *leader) writeCall(ctx context.Context, rs []book.Record) (int64, error) {
-	a := shelf.Append{Topic: l.Topics.Jobs, Records: rs, Writer: roleWriter, Epoch: l.term, Sequence: l.sequence}
+func (l *leader) writeCall(ctx context.Context, to *stream, rs []book.Record) (int64, error) {
+	a := shelf.Append{Topic: to.topic, Records: rs, Writer: roleWriter, Epoch: l.term, Sequence: to.sequence}
 	for try := 0; ; try++ {
 		sent := l.now()
 		err := l.appendOnce(ctx, a, try)
 		if err == nil {
-			l.sequence++
+			to.sequence++
 			return sent, nil
 		}
 		k := fault.KindOf(err)
@@ -359,7 +383,9 @@
 	}
 	// A batch may be on its way under this sequence number; then the append fails and
 	// the others notice the silence.
-	a := shelf.Append{Topic: l.Topics.Jobs, Records: []book.Record{r}, Writer: roleWriter, Epoch: l.term, Sequence: l.sequence}
+	a := shelf.Append{
+		Topic: l.jobs.topic, Records: []book.Record{r}, Writer: roleWriter, Epoch: l.term, Sequence: l.jobs.sequence,
+	}
 	if err := l.appendOnce(ctx, a, 0); err != nil {
 		l.Logger.Warn("role not handed over", slog.Uint64("term", l.term), slog.String("error", err.Error()))
 		return
--- a/internal/desk/clerk/seams.go
+++ b/internal/desk/clerk/seams.go
@@ -15,6 +15,8 @@
 // Topics names the partitions of the store.
 type Topics struct {
 	Configuration, Workers, Status, Jobs string
+	// Details is read by a host that takes the coordinator's role, and by no other.
+	Details string
 	// ConfigurationKey is the key of the configuration's record.
 	ConfigurationKey string
 }
--- a/internal/yard/book/record.go
+++ b/internal/yard/book/record.go
@@ -45,9 +45,7 @@
 // Ended returns the records of an ended job, which take the place of its acceptance
 // and of its progress: hosts that start read the newest records of all jobs.
 func Ended(s *order.Spec, p *order.Progress) ([]Record, error) {
-	short := *p
-	short.Rounds = nil
-	progress, err := Advanced(s.ID, &short)
+	progress, err := Advanced(s.ID, p)
 	if err != nil {
 		return nil, err
 	}
@@ -63,8 +61,12 @@
 // Cancelled returns the record of a cancellation.
 func Cancelled(id string) Record { return Record{Key: string(kindCancelled) + id, Value: []byte{1}} }
 
-// Advanced returns the record of a job's progress.
-func Advanced(id string, p *order.Progress) (Record, error) { return encode(kindProgress, id, p) }
+// Advanced returns the record of a job's progress without that of its tasks.
+func Advanced(id string, p *order.Progress) (Record, error) {
+	short := *p
+	short.Rounds, short.Unheard = nil, nil
+	return encode(kindProgress, id, &short)
+}
 
 // Claimed returns the record of a claim or a pulse.
 func Claimed(c *Claim) (Record, error) { return encode(kindClaim, "", c) }
--- a/internal/yard/drill/coordinator.go
+++ b/internal/yard/drill/coordinator.go
@@ -44,7 +44,7 @@
 	w.write(r)
 	w.lead = c
 	c.state = foreman.State{Settings: w.Coordinator, Term: c.term}
-	c.carryOut(c.state.Start(w.now, w.now, &w.book, w.Configuration, gone))
+	c.carryOut(c.state.Start(w.now, w.now, &w.book, w.details, w.Configuration, gone))
 	for _, k := range w.workers {
 		if k.listed {
 			w.list(k)
@@ -102,6 +102,9 @@
 		case c.w.storeDown:
 			c.w.after(2*tickEvery, func() { c.record(b) })
 		default:
+			for _, r := range b.Details {
+				c.w.writeDetail(r)
+			}
 			for _, r := range b.Records {
 				c.w.write(r)
 			}
--- a/internal/yard/drill/judge.go
+++ b/internal/yard/drill/judge.go
@@ -87,7 +87,7 @@
 	switch e.Ending {
 	case crew.EndDone:
 		t.done = true
-		if j := w.book.Jobs[e.Task.Job]; w.lead != nil && (j == nil || j.Progress == nil) {
+		if j := w.book.Jobs[e.Task.Job]; w.lead != nil && (j == nil || j.Progress == nil) && w.details[e.Task.Job] == nil {
 			w.brokenf("the end of %v on %s is acknowledged and not recorded", e.Task, k.id)
 		}
 	case crew.EndFailed:
--- a/internal/yard/drill/world.go
+++ b/internal/yard/drill/world.go
@@ -20,6 +20,8 @@
 	Broken []string
 	// Lines counts the coordinator's log lines by message.
 	Lines map[string]int
+	// FollowedBytes is the size of what each host has read, without the pulses.
+	FollowedBytes int
 
 	now     int64
 	queue   events
@@ -30,6 +32,8 @@
 	workers []*worker
 	jobs    map[string]*jobFacts
 	gangs   map[gangKey]*gang
+	// details is the partition that only coordinators read.
+	details book.Details
 	// lead is the coordinator that the store takes records from.
 	lead      *coordinator
 	storeDown bool
@@ -101,7 +105,7 @@
 	p.init()
 	w := &World{
 		Plan: p, Lines: make(map[string]int), rand: rand.New(rand.NewPCG(p.Seed, 1)),
-		jobs: make(map[string]*jobFacts), gangs: make(map[gangKey]*gang), now: 1,
+		jobs: make(map[string]*jobFacts), gangs: make(map[gangKey]*gang), details: make(book.Details), now: 1,
 	}
 	for i := range p.Workers {
 		w.addWorker(i)
@@ -179,9 +183,23 @@
 	}
 }
 
+// writeDetail puts a record into the partition of the details.
+func (w *World) writeDetail(r book.Record) {
+	if len(r.Value) == 0 {
+		delete(w.details, r.Key[1:])
+		return
+	}
+	if err := w.details.Apply(r); err != nil {
+		w.brokenf("details cannot be read: %v", err)
+	}
+}
+
 // write puts a record into the store and shows it to the coordinators.
 func (w *World) write(r book.Record) {
 	c, err := w.book.Apply(w.book.Next, r)
+	if !c.Claimed {
+		w.FollowedBytes += len(r.Key) + len(r.Value)
+	}
 	w.book.Next++
 	if err != nil {
 		w.brokenf("a record cannot be read: %v", err)
--- a/internal/yard/foreman/event.go
+++ b/internal/yard/foreman/event.go
@@ -88,7 +88,10 @@
 // answers with Recorded, unless the coordinator has been replaced. The next batch
 // comes after the answer.
 type Record struct {
-	Batch   uint64
+	Batch uint64
+	// Details go to their own partition, and before the records: what runs must be known
+	// to the next coordinator whatever is told to callers.
+	Details []book.Record
 	Records []book.Record
 }
 
--- a/internal/yard/foreman/jobs.go
+++ b/internal/yard/foreman/jobs.go
@@ -14,7 +14,7 @@
 	j := s.jobs[e.Spec.ID]
 	if j == nil {
 		spec := *e.Spec
-		j = s.addJob(spec.ID, &book.Job{Spec: &spec})
+		j = s.addJob(spec.ID, &book.Job{Spec: &spec}, nil)
 		s.line("job seen", slog.String("id", j.id), slog.String("organisation", spec.Organisation),
 			slog.String("route", spec.Route), slog.Int("priority", spec.Priority), slog.Int("steps", len(spec.Steps)),
 			slog.Int64("objectiveMs", j.deadline-j.since))
--- a/internal/yard/foreman/recorder.go
+++ b/internal/yard/foreman/recorder.go
@@ -4,12 +4,15 @@
 	"log/slog"
 
 	"github.com/limpetrelay/limpetrelay/internal/yard/book"
+	"github.com/limpetrelay/limpetrelay/internal/yard/order"
 )
 
 // recorder writes what has changed and remembers what waits for it.
 type recorder struct {
 	// dirty has the jobs with changes that are in no batch yet, in order.
 	dirty []*job
+	// finished has the IDs of jobs whose details are to be dropped.
+	finished []string
 	// forgotten has the IDs of jobs whose records are to be dropped.
 	forgotten []string
 	// batch is the number of the last batch sent, and written that of the last one
@@ -18,7 +21,7 @@
 	pulse          uint64
 	// starts has the units whose placement is being recorded, in order.
 	starts []*unit
-	// flushed is when the last batch was sent.
+	// flushed is when the last pulse was sent.
 	flushed int64
 }
 
@@ -38,36 +41,82 @@
 	if s.batch != s.written || s.resigned {
 		return
 	}
-	var rs []book.Record
+	r := Record{Batch: s.batch + 1}
+	for _, id := range s.finished {
+		// The end is in the store by now, so the details are not needed any more.
+		r.Details = append(r.Details, book.DropDetail(id))
+	}
+	s.finished = s.finished[:0]
 	for _, j := range s.dirty {
 		j.dirty = false
 		j.prog.Term = s.Term
-		r, err := j.records()
-		if err != nil {
-			s.line("job not recorded", slog.String("job", j.id), slog.String("error", err.Error()))
-			continue
+		if err := s.recordJob(&r, j); err != nil {
+			s.line("job not recorded", slog.String("id", j.id), slog.String("error", err.Error()))
 		}
-		rs = append(rs, r...)
 	}
 	clear(s.dirty)
 	s.dirty = s.dirty[:0]
 	for _, id := range s.forgotten {
-		rs = append(rs, book.Forgotten(id)...)
+		r.Records = append(r.Records, book.Forgotten(id)...)
 	}
 	s.forgotten = nil
-	if len(rs) == 0 && s.now < s.flushed+s.PulseEvery {
+	pulse := len(r.Records) > 0 || s.now >= s.flushed+s.PulseEvery
+	if !pulse && len(r.Details) == 0 {
 		return
 	}
-	s.pulse++
-	c, err := book.Claimed(&book.Claim{Host: s.Host, Incarnation: s.Incarnation, Pulse: s.pulse, Of: s.Term, Sole: s.priorGone})
+	if pulse {
+		s.pulse++
+		c, err := book.Claimed(&book.Claim{
+			Host: s.Host, Incarnation: s.Incarnation, Pulse: s.pulse, Of: s.Term, Sole: s.priorGone,
+		})
+		if err != nil {
+			s.line("pulse not recorded", slog.String("error", err.Error()))
+			return
+		}
+		r.Records = append(r.Records, c)
+		s.flushed = s.now
+	}
+	s.batch = r.Batch
+	s.out = append(s.out, Effect{Record: &r})
+}
+
+// recordJob adds the records of a job's state to a batch.
+func (s *State) recordJob(r *Record, j *job) error {
+	shown := outward{state: j.prog.State, begun: j.prog.Begun}
+	if j.prog.State.Ended() {
+		if j.shown == shown {
+			return nil
+		}
+		rs, err := book.Ended(j.spec, j.prog)
+		if err != nil {
+			return err
+		}
+		j.shown = shown
+		s.finished = append(s.finished, j.id)
+		r.Records = append(r.Records, rs...)
+		return nil
+	}
+	d, err := book.Detail(j.id, j.prog)
 	if err != nil {
-		s.line("pulse not recorded", slog.String("error", err.Error()))
-		return
+		return err
+	}
+	r.Details = append(r.Details, d)
+	if j.shown == shown {
+		return nil
 	}
-	rs = append(rs, c)
-	s.batch++
-	s.flushed = s.now
-	s.out = append(s.out, Effect{Record: &Record{Batch: s.batch, Records: rs}})
+	p, err := book.Advanced(j.id, j.prog)
+	if err != nil {
+		return err
+	}
+	j.shown = shown
+	r.Records = append(r.Records, p)
+	return nil
+}
+
+// outward is what of a job's state is told to callers.
+type outward struct {
+	state order.State
+	begun bool
 }
 
 // recorded releases what waited for a batch.
@@ -96,12 +145,3 @@
 		}
 	}
 }
-
-// records returns the records of the job's state.
-func (j *job) records() ([]book.Record, error) {
-	if j.prog.State.Ended() {
-		return book.Ended(j.spec, j.prog)
-	}
-	r, err := book.Advanced(j.id, j.prog)
-	return []book.Record{r}, err
-}
--- a/internal/yard/foreman/state.go
+++ b/internal/yard/foreman/state.go
@@ -125,13 +125,16 @@
 	// guaranteed is set while the organisation's guarantee covers the job.
 	guaranteed bool
 	dirty      bool
+	// shown is what was last recorded for callers.
+	shown outward
 	// tried has the last look for places of each step.
 	tried map[order.Name]tried
 }
 
-// Start takes over the jobs of the book. It must be called once, before Apply.
+// Start takes over the jobs of the book. It must be called once, before Apply. details
+// were read after their partition was fenced.
 // priorGone tells that earlier coordinators certainly give no orders any more.
-func (s *State) Start(now, wall int64, b *book.Book, c *route.Configuration, priorGone bool) []Effect {
+func (s *State) Start(now, wall int64, b *book.Book, details book.Details, c *route.Configuration, priorGone bool) []Effect {
 	s.init()
 	s.now, s.wall, s.began, s.proved, s.config = now, wall, now, now, c
 	s.jobs, s.workers = make(map[string]*job), make(map[string]*worker)
@@ -140,12 +143,17 @@
 	}
 	runs := 0
 	for id, j := range b.Jobs {
-		if j.Spec == nil || j.Progress != nil && j.Progress.State.Ended() && j.Spec == nil {
+		if j.Spec == nil {
 			continue
 		}
-		n := s.addJob(id, j)
+		n := s.addJob(id, j, details[id])
 		runs += n.live
 	}
+	for id := range details {
+		if s.jobs[id] == nil {
+			s.finished = append(s.finished, id)
+		}
+	}
 	s.line("role taken", slog.Uint64("term", s.Term), slog.Int("jobs", len(s.jobs)), slog.Int("runs", runs),
 		slog.Uint64("next", b.Next), slog.Bool("priorGone", priorGone))
 	s.planDue = true
@@ -153,20 +161,27 @@
 	return s.take()
 }
 
-// addJob takes over a job of the book, with the attempts that may be at work.
-func (s *State) addJob(id string, b *book.Job) *job {
+// addJob takes over a job of the book, with the attempts that may be at work. detail is
+// nil when no task was ever placed, and for ended jobs.
+func (s *State) addJob(id string, b *book.Job, detail *order.Progress) *job {
 	j := &job{id: id, spec: b.Spec, cancelled: b.Cancelled, since: s.now}
 	j.since -= min(max(0, s.wall-b.Spec.Accepted), maxAge)
 	s.jobs[id] = j
-	if b.Progress == nil {
-		j.prog = &order.Progress{State: order.Queued}
-	} else {
-		j.prog = b.Progress.Clone()
+	j.prog = &order.Progress{State: order.Queued}
+	if p := b.Progress; p != nil {
+		j.shown = outward{state: p.State, begun: p.Begun}
+		j.prog = p.Clone()
 	}
 	s.setTerms(j)
 	if j.prog.State.Ended() {
+		if detail != nil {
+			s.finished = append(s.finished, id)
+		}
 		return j
 	}
+	if detail != nil {
+		j.prog = detail.Clone()
+	}
 	for k, round := range j.prog.Rounds {
 		for step, tasks := range round {
 			s.adopt(j, k, step, tasks)
--- /dev/null
+++ b/internal/yard/order/columns.go
@@ -0,0 +1,157 @@
+package order
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/limpetrelay/limpetrelay/wire"
+)
+
+// Rounds has, for each occurrence that has been opened, the tasks per step. An
+// occurrence whose tasks are all done is nil. Its encoding is by column, since every host
+// reads every record and most tasks differ little.
+type Rounds [][][]Task
+
+// columns is the encoding of Rounds.
+type columns struct {
+	_ struct{} `cbor:",toarray"`
+	// Workers has the lifetimes that tasks are placed on, each once.
+	Workers []lifetime
+	// Rounds is nil for an occurrence that is done.
+	Rounds [][]stepColumns
+}
+
+// lifetime is one lifetime of a worker.
+type lifetime struct {
+	_      struct{} `cbor:",toarray"`
+	Worker string
+	Born   int64
+}
+
+// stepColumns has one step's tasks.
+type stepColumns struct {
+	_ struct{} `cbor:",toarray"`
+	// Phases has a byte per task.
+	Phases []byte
+	// Run is the number that most tasks have, and Runs that of the others by index.
+	Run  int
+	Runs map[int]int
+	// Places has the positions in columns.Workers of the placed tasks, in their order.
+	Places []int
+	// Failures and Checkpoints are by index.
+	Failures    map[int]int
+	Checkpoints map[int]string
+}
+
+// MarshalCBOR implements cbor.Marshaler.
+func (rs Rounds) MarshalCBOR() ([]byte, error) {
+	c := columns{Rounds: make([][]stepColumns, len(rs))}
+	at := make(map[lifetime]int)
+	for k, round := range rs {
+		if round == nil {
+			continue
+		}
+		c.Rounds[k] = make([]stepColumns, len(round))
+		for i, tasks := range round {
+			c.Rounds[k][i] = c.pack(tasks, at)
+		}
+	}
+	return wire.Encode(&c)
+}
+
+// pack returns the columns of tasks, and adds their workers, whose positions are in at.
+func (c *columns) pack(tasks []Task, at map[lifetime]int) stepColumns {
+	s := stepColumns{Phases: make([]byte, len(tasks)), Run: commonRun(tasks)}
+	for i := range tasks {
+		t := &tasks[i]
+		s.Phases[i] = byte(t.Phase)
+		if t.Run != s.Run {
+			put(&s.Runs, i, t.Run)
+		}
+		if t.Failures != 0 {
+			put(&s.Failures, i, t.Failures)
+		}
+		if t.Checkpoint != "" {
+			put(&s.Checkpoints, i, t.Checkpoint)
+		}
+		if t.Phase != Placed {
+			continue
+		}
+		l := lifetime{Worker: t.Worker, Born: t.Born}
+		n, ok := at[l]
+		if !ok {
+			n = len(c.Workers)
+			at[l] = n
+			c.Workers = append(c.Workers, l)
+		}
+		s.Places = append(s.Places, n)
+	}
+	return s
+}
+
+// commonRun returns the run number that the most tasks have.
+func commonRun(tasks []Task) int {
+	n := make(map[int]int)
+	best := 0
+	for i := range tasks {
+		r := tasks[i].Run
+		n[r]++
+		if n[r] > n[best] || n[r] == n[best] && r < best {
+			best = r
+		}
+	}
+	return best
+}
+
+// put sets a value in a map that may be nil.
+func put[V any](m *map[int]V, i int, v V) {
+	if *m == nil {
+		*m = make(map[int]V)
+	}
+	(*m)[i] = v
+}
+
+// UnmarshalCBOR implements cbor.Unmarshaler.
+func (rs *Rounds) UnmarshalCBOR(b []byte) error {
+	var c columns
+	if err := wire.Decode(b, &c); err != nil {
+		return errors.Wrap(err, "progress of tasks")
+	}
+	*rs = make(Rounds, len(c.Rounds))
+	for k, round := range c.Rounds {
+		if round == nil {
+			continue
+		}
+		(*rs)[k] = make([][]Task, len(round))
+		for i := range round {
+			tasks, err := c.unpack(&round[i])
+			if err != nil {
+				return errors.Wrapf(err, "occurrence %d, step %d", k, i)
+			}
+			(*rs)[k][i] = tasks
+		}
+	}
+	return nil
+}
+
+// unpack returns the tasks of a step.
+func (c *columns) unpack(s *stepColumns) ([]Task, error) {
+	tasks := make([]Task, len(s.Phases))
+	placed := 0
+	for i := range tasks {
+		t := &tasks[i]
+		t.Phase, t.Run, t.Failures, t.Checkpoint = Phase(s.Phases[i]), s.Run, s.Failures[i], s.Checkpoints[i]
+		if r, ok := s.Runs[i]; ok {
+			t.Run = r
+		}
+		if t.Phase != Placed {
+			continue
+		}
+		if placed >= len(s.Places) || s.Places[placed] < 0 || s.Places[placed] >= len(c.Workers) {
+			return nil, errors.Newf("task %d is placed on no worker", i)
+		}
+		l := &c.Workers[s.Places[placed]]
+		t.Worker, t.Born = l.Worker, l.Born
+		placed++
+	}
+	return tasks, nil
+}
--- a/internal/yard/order/order_test.go
+++ b/internal/yard/order/order_test.go
@@ -1,6 +1,8 @@
 package order_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -23,15 +25,51 @@
 			require.NoError(t, err)
 			return len(b)
 		}
-		assert.Less(t, size(), 40+50*n, "placed, %d tasks", n)
+		assert.Less(t, size(), 80+25*n, "placed, with checkpoints, %d tasks", n)
+		for i := range tasks {
+			tasks[i].Checkpoint = ""
+		}
+		assert.Less(t, size(), 80+3*n, "placed, %d tasks", n)
+		for i := range tasks {
+			tasks[i].Checkpoint = "00000bb87a21d94b"
+		}
 		for i := range tasks {
 			tasks[i].Unplace()
 		}
-		assert.Less(t, size(), 40+25*n, "waiting, %d tasks", n)
+		assert.Less(t, size(), 40+25*n, "waiting, with checkpoints, %d tasks", n)
 		for i := range tasks {
 			tasks[i].Finish()
 		}
-		assert.Less(t, size(), 40+8*n, "done, %d tasks", n)
+		assert.Less(t, size(), 40+2*n, "done, %d tasks", n)
+	}
+}
+
+func TestRoundsKeepEverything(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	for n := range 40 {
+		want := order.Rounds{nil, make([][]order.Task, 2)}
+		for i := range want[1] {
+			want[1][i] = make([]order.Task, n)
+			for k := range want[1][i] {
+				task := order.Task{Phase: order.Phase(r.IntN(3)), Run: r.IntN(3), Failures: r.IntN(2)}
+				if r.IntN(3) == 0 {
+					task.Checkpoint = "00000bb87a21d94b"
+				}
+				if task.Phase == order.Placed {
+					task.Worker, task.Born = fmt.Sprint("w", r.IntN(4)), 1_788_248_341_273
+				}
+				want[1][i][k] = task
+			}
+		}
+		b, err := wire.Encode(&order.Progress{Rounds: want})
+		require.NoError(t, err)
+		var got order.Progress
+		require.NoError(t, wire.Decode(b, &got))
+		assert.Equal(t, want, got.Rounds, "%d tasks", n)
+		for cut := range b {
+			var p order.Progress
+			require.Error(t, wire.Decode(b[:cut], &p), "a cut record is an error")
+		}
 	}
 }
 
--- a/internal/yard/order/progress.go
+++ b/internal/yard/order/progress.go
@@ -32,7 +32,6 @@
 
 // Task is the recorded state of one task.
 type Task struct {
-	_     struct{} `cbor:",toarray"`
 	Phase Phase
 	// Run numbers the starts. It never falls, and 0 means that there was none.
 	Run int
@@ -52,16 +51,15 @@
 // Finish marks a task as done.
 func (t *Task) Finish() { t.Phase, t.Worker, t.Born, t.Checkpoint = Done, "", 0, "" }
 
-// Progress is the recorded state of a job. Only the coordinator writes it.
+// Progress is the recorded state of a job. Only the coordinator writes it. Rounds and
+// Unheard are only in the coordinator's records.
 type Progress struct {
 	// Term is the coordinator's.
 	Term  uint64 `cbor:"1,keyasint"`
 	State State  `cbor:"2,keyasint"`
 	// Begun is set once a task has been placed.
-	Begun bool `cbor:"3,keyasint,omitempty"`
-	// Rounds has, for each occurrence that has been opened, the tasks per step. An
-	// occurrence whose tasks are all done is nil.
-	Rounds [][][]Task `cbor:"4,keyasint,omitempty"`
+	Begun  bool   `cbor:"3,keyasint,omitempty"`
+	Rounds Rounds `cbor:"4,keyasint,omitempty"`
 	// Unheard has the runs that were given up when their worker's lease had run out.
 	// Their ends may still be heard once the worker answers again.
 	Unheard []Run `cbor:"6,keyasint,omitempty"`
@@ -126,7 +124,7 @@
 func (p *Progress) Clone() *Progress {
 	q := *p
 	q.Unheard = slices.Clone(p.Unheard)
-	q.Rounds = make([][][]Task, len(p.Rounds))
+	q.Rounds = make(Rounds, len(p.Rounds))
 	for k, round := range p.Rounds {
 		if round == nil {
 			continue
