A store that does not answer refuses requests at once; proofs are younger

Queues and keys were called unknown only with a proof younger than 2 s, while proofs were up to 2.4 s old. Ruled out: longer times in Retry-After. Change: after two failed tries and no later read, requests that were not sent are refused at once, and new ones too; one that was sent is repeated for as long as its caller waits. A read after a failed one does not wait. The configuration is read every 0.7 s. The limit of a try follows the store's measured round trip. Test: TestSilentStoreRefusesAtOnce. Noted: two runs of this test hung, once for ten minutes: its stand-in slept for an hour.

--- a/internal/desk/clerk/clerk_test.go
+++ b/internal/desk/clerk/clerk_test.go
@@ -290,3 +290,37 @@
 	s.ready(h)
 	require.Eventually(t, departed, 5*time.Second, 5*time.Millisecond)
 }
+
+// Requests that come while the store does not answer are refused at once, with nothing
+// sent, so that their callers may come again; they are served as soon as it is back.
+func TestSilentStoreRefusesAtOnce(t *testing.T) {
+	s := newSite(t)
+	s.configure(key)
+	h, _, _ := s.host("host")
+	s.ready(h)
+	require.Eventually(t, h.Leading, 5*time.Second, time.Millisecond)
+	s.store.SetSlow(4 * time.Second)
+	first := make(chan clerk.Answer, 1)
+	go func() { first <- call(h, clerk.Submit, prefix+id, key, 3*time.Second) }()
+	time.Sleep(100 * time.Millisecond) // The first request is sent alone.
+	const refusedWithin = 1200 * time.Millisecond
+	began := time.Now()
+	refused := 0
+	for i := 0; time.Since(began) < 2*time.Second; i++ {
+		asked := time.Now()
+		a := call(h, clerk.Submit, fmt.Sprintf("%s%016x", prefix, i), key, 3*time.Second)
+		require.Equal(t, clerk.NotRun, a.Outcome)
+		require.Positive(t, a.Again)
+		require.Less(t, time.Since(asked), refusedWithin)
+		if time.Since(asked) < 20*time.Millisecond {
+			refused++
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	assert.Greater(t, refused, 10, "once the store is known to be away nobody waits")
+	a := <-first
+	assert.Equal(t, clerk.NotKnown, a.Outcome, "the first request was sent and its fate is not known")
+	s.store.SetSlow(0)
+	require.Eventually(t, func() bool { return call(h, clerk.Submit, prefix+id, key, time.Second).Outcome == clerk.Done },
+		3*time.Second, 20*time.Millisecond)
+}
--- a/internal/desk/clerk/follow.go
+++ b/internal/desk/clerk/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/limpetrelay/limpetrelay/fault"
@@ -12,9 +13,12 @@
 )
 
 const (
-	// followWait is how long a read waits for news. It bounds the age of the proofs
-	// that the reads give.
-	followWait = 1200 * time.Millisecond
+	// followWait is how long a read of the jobs waits for news, and configurationWait one
+	// of the configuration. A proof is as old as the last read that was answered, at the
+	// most twice the wait; it must stay well below denialAge, since the configuration has
+	// no news for most of the time.
+	followWait        = 1200 * time.Millisecond
+	configurationWait = 700 * time.Millisecond
 	// followerGap is the least time between two reads of the jobs by a host that does
 	// not coordinate: it only shows them, and each call to the store is paid for.
 	followerGap = 150 * time.Millisecond
@@ -40,14 +44,16 @@
 	take     func(shelf.Entry)
 	after    func()
 	caughtUp func(sent int64)
+	// failing, if set, tells whether the last read failed.
+	failing *atomic.Bool
 }
 
 // follow runs until ctx ends.
 func (f *follower) follow(ctx context.Context) {
 	var next uint64
 	loaded := false
-	// The first read after the newest records does not wait, so that a host that has
-	// just started knows at once that it is up to date.
+	// The first read after the newest records, or after a failure, does not wait, so that
+	// the host knows at once that it is up to date.
 	wait := time.Duration(0)
 	for ctx.Err() == nil {
 		var err error
@@ -63,6 +69,9 @@
 		}
 		if err == nil {
 			f.down.ok(f.topic)
+			if f.failing != nil {
+				f.failing.Store(false)
+			}
 			if f.gap != nil {
 				retry.Pause(ctx, f.gap())
 			}
@@ -74,6 +83,10 @@
 			continue
 		}
 		f.down.fail(f.topic, err)
+		wait = 0
+		if f.failing != nil {
+			f.failing.Store(true)
+		}
 		retry.Pause(ctx, followPause)
 	}
 }
@@ -137,7 +150,7 @@
 // followConfiguration keeps the configuration up to date.
 func (h *Host) followConfiguration(ctx context.Context) {
 	f := &follower{
-		Host: h, topic: h.Topics.Configuration, wait: followWait,
+		Host: h, topic: h.Topics.Configuration, wait: configurationWait,
 		take:     h.takeConfiguration,
 		caughtUp: func(sent int64) { h.configProof.Store(sent) },
 	}
@@ -184,6 +197,7 @@
 			h.loaded, h.claimSeen = true, h.now()
 		},
 		caughtUp: func(sent int64) { h.jobsProof.Store(sent) },
+		failing:  &h.jobsFailing,
 	}
 	f.follow(ctx)
 }
--- a/internal/desk/clerk/host.go
+++ b/internal/desk/clerk/host.go
@@ -53,6 +53,8 @@
 	revocation atomic.Int64
 	// jobsProof is when the read was sent that last showed the book to be complete.
 	jobsProof atomic.Int64
+	// jobsFailing is set while the last read of the jobs failed.
+	jobsFailing atomic.Bool
 	// roundTrip is how long the store takes for a short answer, in milliseconds.
 	roundTrip atomic.Int64
 	// unfitUntil is when this host may claim the role again; only takeRoles uses it.
--- a/internal/desk/clerk/serve.go
+++ b/internal/desk/clerk/serve.go
@@ -189,7 +189,7 @@
 
 // refuseWhenDown refuses a request at once when the store is known not to answer.
 func (h *Host) refuseWhenDown() (Answer, bool) {
-	if h.now()-h.jobsProof.Load() > bookAge && h.writer.failing.Load() {
+	if h.storeAway() {
 		return notRun("the store does not answer"), true
 	}
 	return Answer{}, false
--- a/internal/desk/clerk/write.go
+++ b/internal/desk/clerk/write.go
@@ -19,9 +19,11 @@
 	firstTry = 200 * time.Millisecond
 	// lastTry is the longest that one try may take.
 	lastTry = 1200 * time.Millisecond
-	// unknownTries is how often an append of unknown fate is repeated before its
-	// callers are told that it is not known.
+	// unknownTries is how often a claim of unknown fate is repeated.
 	unknownTries = 5
+	// unknownFor is how long an append of unknown fate is repeated: its callers wait for
+	// about three seconds.
+	unknownFor = 2800 * time.Millisecond
 	// refusedTries is how often an append that the store refuses is repeated before
 	// its callers are told that nothing was done.
 	refusedTries = 3
@@ -40,8 +42,9 @@
 	name     string
 	renamed  int
 	sequence uint64
-	// failing is set while the last try of an append failed.
-	failing atomic.Bool
+	// failures counts the tries of an append that failed in a row, since failedAt.
+	failures atomic.Int64
+	failedAt atomic.Int64
 }
 
 // item is a record that a request waits for.
@@ -136,21 +139,28 @@
 	a := shelf.Append{Topic: h.Topics.Jobs, Records: rs, Writer: w.name, Epoch: 1, Sequence: w.sequence}
 	unknown := false
 	refusals := 0
+	began := h.now()
 	for try := 0; ; try++ {
 		err := h.appendOnce(ctx, a, try)
-		w.failing.Store(err != nil)
-		switch {
-		case err == nil:
+		if err == nil {
+			w.failures.Store(0)
 			w.sequence++
 			return nil
-		case !fault.NothingDone(err):
-			unknown = true
-		default:
+		}
+		if w.failures.Add(1) == 1 {
+			w.failedAt.Store(h.now())
+		}
+		if h.storeAway() {
+			w.refuse()
+		}
+		if fault.NothingDone(err) {
 			refusals++
+		} else {
+			unknown = true
 		}
 		last := refusals >= refusedTries
 		if unknown {
-			last = try+1 >= unknownTries || fault.KindOf(err) == fault.Internal
+			last = h.now()-began > unknownFor.Milliseconds() || fault.KindOf(err) == fault.Internal
 		}
 		if last || ctx.Err() != nil {
 			if unknown {
@@ -164,12 +174,45 @@
 				slog.String("error", err.Error()))
 			return err
 		}
-		if fault.NothingDone(err) {
-			retry.Pause(ctx, refusedPause<<min(refusals, 3))
+		retry.Pause(ctx, refusedPause<<min(try, 2))
+	}
+}
+
+// awayAfter is the number of failed tries after which the store counts as away; single
+// answers are lost also while it serves.
+const awayAfter = 2
+
+// storeAway reports whether the store is known not to answer: calls have failed, and no
+// read that was sent later has succeeded. Requests are then refused before anything of
+// them is sent.
+func (h *Host) storeAway() bool {
+	w := &h.writer
+	return h.jobsFailing.Load() || w.failures.Load() >= awayAfter && h.jobsProof.Load() < w.failedAt.Load()
+}
+
+// refuse ends the wait of all requests that nothing was sent of.
+func (w *writer) refuse() {
+	for {
+		select {
+		case it := <-w.items:
+			if it.state.CompareAndSwap(itemWaiting, itemWithdrawn) {
+				it.done <- fault.New(fault.Unavailable, "the store does not answer", "send it again")
+			}
+		default:
+			return
 		}
 	}
 }
 
+// noteRoundTrip takes the time of a call, which for one without an answer is its limit,
+// into the time that the store is expected to take.
+func (h *Host) noteRoundTrip(took int64) {
+	h.roundTrip.Store((roundTripWeight*h.roundTrip.Load() + took) / (roundTripWeight + 1))
+}
+
+// roundTripWeight is the weight of the past in the store's round trip, against one call.
+const roundTripWeight = 3
+
 // appendOnce makes one try of an append, which may take the longer the more there
 // have been.
 func (h *Host) appendOnce(ctx context.Context, a shelf.Append, try int) error {
@@ -178,7 +221,9 @@
 	defer cancel()
 	sent := h.now()
 	_, err := h.Store.Append(ctx, a)
-	h.Metrics.Time("appendTime", "", "", h.now()-sent)
+	took := h.now() - sent
+	h.Metrics.Time("appendTime", "", "", took)
+	h.noteRoundTrip(took)
 	if err != nil && fault.KindOf(err) != fault.Conflict && fault.KindOf(err) != fault.Fenced {
 		h.down.fail("append", err)
 	} else {
