Victims that others make needless are not stopped

Cause: room for an urgent gang is made by stopping what frees the most for its cost, one after the other; what was stopped first is often not needed once a larger run has been stopped as well. Change: after room is found, the dearest victims that are not needed are spared. Test: TestMakeRoomSparesNeedlessVictims.

--- a/internal/yard/crew/victims.go
+++ b/internal/yard/crew/victims.go
@@ -1,6 +1,11 @@
 package crew
 
-import "github.com/limpetrelay/limpetrelay/internal/yard/order"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/limpetrelay/limpetrelay/internal/yard/order"
+)
 
 // Victim is work that may be stopped to make room.
 type Victim struct {
@@ -32,7 +37,6 @@
 		v := left[k]
 		left = append(left[:k], left[k+1:]...)
 		stopped = append(stopped, v)
-		cost += victims[v].Cost
 		for i, f := range victims[v].Frees {
 			if l, ok := local[i]; ok {
 				before := r.Fit(&work[l])
@@ -41,6 +45,10 @@
 			}
 		}
 	}
+	stopped = spare(work, local, r, victims, stopped, room)
+	for _, v := range stopped {
+		cost += victims[v].Cost
+	}
 	all := make([]int, len(at))
 	for k := range all {
 		all[k] = k
@@ -52,6 +60,32 @@
 	return places, stopped, cost
 }
 
+// spare returns the victims that are needed, without those that others have made
+// needless, the dearest first. It takes what the spared ones free from work.
+func spare(work []Seat, local map[int]int, r *Request, victims []Victim, stopped []int, room int) []int {
+	byCost := slices.Clone(stopped)
+	slices.SortStableFunc(byCost, func(a, b int) int { return cmp.Compare(victims[b].Cost, victims[a].Cost) })
+	for _, v := range byCost {
+		left := room
+		for i, f := range victims[v].Frees {
+			if l, ok := local[i]; ok {
+				left += r.fit(&work[l], work[l].Free.Sub(f)) - r.Fit(&work[l])
+			}
+		}
+		if left < r.Tasks {
+			continue
+		}
+		room = left
+		for i, f := range victims[v].Frees {
+			if l, ok := local[i]; ok {
+				work[l].Free = work[l].Free.Sub(f)
+			}
+		}
+		stopped = slices.DeleteFunc(stopped, func(s int) bool { return s == v })
+	}
+	return stopped
+}
+
 // cheapest returns the position in left of the victim that frees the most for its
 // cost, or -1. A victim that frees part of a place counts by that part.
 func cheapest(work []Seat, local map[int]int, r *Request, victims []Victim, left []int) int {
