A worker on which tasks stand still comes back ever more rarely

Ruled out: stopping hung tasks sooner; a healthy task's share of work is told about once a second, in hundredths. Change: a standstill isolates the worker as repeated failures do, for twice as long each time, until a run ends well there.

--- a/internal/yard/foreman/jobs.go
+++ b/internal/yard/foreman/jobs.go
@@ -85,7 +85,9 @@
 		slog.Int("run", a.run), slog.String("worker", a.w.ID), slog.Int("percent", a.percent),
 		slog.Int64("forMs", a.seenAt-a.movedAt))
 	s.avoid(a.job, a.step, a.w)
-	a.w.closedUntil = max(a.w.closedUntil, s.now+s.Quarantine)
+	// What stands still does so again, until something has ended well there.
+	a.w.strikes++
+	s.isolate(a.w, "a task stands still")
 	s.breakUnit(a.unit, "it stands still")
 }
 
--- a/internal/yard/foreman/load_test.go
+++ b/internal/yard/foreman/load_test.go
@@ -85,3 +85,21 @@
 		}
 	}
 }
+
+// Pattern: a worker on which tasks stand still for a long time, and a stream of work on
+// full workers. Each return of the worker costs the work that is tried on it; it comes
+// back ever more rarely.
+func TestHangingWorkerComesBackRarely(t *testing.T) {
+	stops := 0
+	for seed := range uint64(5) {
+		p := drill.Plan{Seed: seed, Workers: 4, Configuration: configuration(0)}
+		for i := range 150 {
+			p.Jobs = append(p.Jobs, drill.Arrival{At: int64(500 + 200*i), Spec: batch(fmt.Sprintf("b%03d", i), 2, 2500)})
+		}
+		p.Faults = []drill.Fault{{At: 1000, For: 35_000, Kind: drill.Hang, Count: 1}}
+		w := play(t, p, 90_000)
+		requireEnded(t, w, order.Completed)
+		stops += w.Lines["task stands still"]
+	}
+	assert.LessOrEqual(t, stops, 5*3*8, "three returns in 35 s, eight tasks each")
+}
--- a/internal/yard/foreman/worker.go
+++ b/internal/yard/foreman/worker.go
@@ -488,6 +488,14 @@
 	if w.strikes < 2 {
 		return
 	}
+	s.isolate(w, why)
+}
+
+// isolate quarantines a worker, for longer each time until a run ends well there.
+func (s *State) isolate(w *worker, why string) {
+	if s.now < w.closedUntil {
+		return
+	}
 	w.quarantine = min(max(s.Quarantine, 2*w.quarantine), maxQuarantine)
 	w.closedUntil = s.now + w.quarantine
 	s.line("worker quarantined", slog.String("worker", w.ID), slog.String("why", why), slog.Int("strikes", w.strikes),
