No orders to workers without an address

Ruled out: starts; they go only to workers that have answered under the term. Change: a stop is sent once the entry is back. Test: TestNoOrdersWithoutAnAddress (fails before).

--- a/internal/yard/foreman/attempt.go
+++ b/internal/yard/foreman/attempt.go
@@ -201,9 +201,12 @@
 	s.sendStop(a)
 }
 
-// sendStop gives one stop order.
+// sendStop gives one stop order. A worker that has no entry yet gets it later.
 func (s *State) sendStop(a *attempt) {
 	a.stopAt = s.now
+	if a.w.Address == "" {
+		return
+	}
 	s.out = append(s.out, Effect{Stop: &Stop{Target: a.w.target(), Order: crew.Stop{Task: a.name(), Run: a.run, Token: s.Term}}})
 }
 
--- /dev/null
+++ b/internal/yard/foreman/unlisted_test.go
@@ -0,0 +1,43 @@
+package foreman_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/limpetrelay/limpetrelay/internal/yard/book"
+	"github.com/limpetrelay/limpetrelay/internal/yard/crew"
+	"github.com/limpetrelay/limpetrelay/internal/yard/foreman"
+	"github.com/limpetrelay/limpetrelay/internal/yard/order"
+)
+
+// A coordinator that takes over may know of runs on workers whose entries are gone. There
+// is no address to send orders to until the entry is back.
+func TestNoOrdersWithoutAnAddress(t *testing.T) {
+	spec := batch("b", 1, 1000)
+	placed := order.Progress{
+		State: order.Running, Begun: true,
+		Rounds: order.Rounds{{{{Phase: order.Placed, Run: 1, Worker: "w", Born: 5}}}},
+	}
+	b := book.Book{Jobs: map[string]*book.Job{"b": {Spec: &spec, Progress: &placed}}}
+	s := foreman.State{Term: 7}
+	s.Start(1000, 1000, &b, book.Details{"b": &placed}, configuration(0), true)
+	targets := func(es []foreman.Effect) (addresses []string) {
+		for i := range es {
+			if es[i].Stop != nil {
+				addresses = append(addresses, es[i].Stop.Target.Address)
+			}
+		}
+		return addresses
+	}
+	es := s.Apply(&foreman.Event{Now: 1010, Job: &foreman.JobChanged{Spec: &spec, Cancelled: true}})
+	for now := int64(1050); now < 4000; now += 50 {
+		es = append(es, s.Apply(&foreman.Event{Now: now})...)
+	}
+	assert.Empty(t, targets(es))
+	es = s.Apply(&foreman.Event{Now: 4010, Listed: &crew.Listing{ID: "w", Born: 5, Address: "10.0.0.1:1", Service: service}})
+	for now := int64(4050); now < 5000; now += 50 {
+		es = append(es, s.Apply(&foreman.Event{Now: now})...)
+	}
+	assert.Contains(t, targets(es), "10.0.0.1:1")
+}
