Leases and quarantines of workers in files of their own

Change: functions are moved; no decision changes. Ruled out: a package of their own; they share the reducer's state.

--- a/internal/yard/foreman/worker.go
+++ b/internal/yard/foreman/worker.go
@@ -355,11 +355,6 @@
 	return false
 }
 
-// heard notes an answer with the worker's clock.
-func (w *worker) heard(now, clock int64) {
-	w.clock, w.clockAt, w.silentSince = clock, now, 0
-}
-
 // unheard notes a call without an answer.
 func (s *State) unheard(w *worker, r crew.Reply) {
 	if w.silentSince != 0 {
@@ -371,32 +366,6 @@
 		slog.String("why", r.Why))
 }
 
-// clockNow returns an estimate of the worker's clock.
-func (w *worker) clockNow(now int64) int64 { return w.clock + now - w.clockAt }
-
-// leased notes the end of a lease that the worker may have taken.
-func (w *worker) leased(until int64) { w.lease = max(w.lease, until) }
-
-// lapsed reports whether everything on w has certainly ended by its lease.
-func (s *State) lapsed(w *worker) bool {
-	if w.clockAt == 0 {
-		// An earlier coordinator may have renewed the lease until it was certainly gone.
-		return s.priorGone && float64(s.now-s.priorGoneAt)*drift > float64(s.Lease+leaseMargin)
-	}
-	lease := max(w.lease, w.clock+s.Lease)
-	return float64(s.now-w.clockAt)*drift > float64(lease-w.clock+leaseMargin)
-}
-
-// priorIsGone notes that leases of earlier terms are not renewed any more.
-func (s *State) priorIsGone() {
-	if !s.priorGone {
-		s.priorGone, s.priorGoneAt = true, s.now
-	}
-}
-
-// leaseMargin covers the way of an order to the worker, in milliseconds.
-const leaseMargin = 100
-
 // watch does what only depends on the time for one worker.
 func (s *State) watch(w *worker) {
 	if w.holdAgain != 0 && s.now >= w.holdAgain {
@@ -477,34 +446,6 @@
 // leaving reports whether w must not be started on.
 func (s *State) leaving(w *worker) bool { return w.Draining || !w.entry }
 
-// strike notes a failure that the worker may be the cause of.
-func (w *worker) strike(s *State, j *job, step int, why string) {
-	if w.struck == j.id || len(j.avoid[step]) > 1 {
-		// The job fails on different workers, so it is the likelier cause.
-		return
-	}
-	w.struck = j.id
-	w.strikes++
-	if w.strikes < 2 {
-		return
-	}
-	s.isolate(w, why)
-}
-
-// isolate quarantines a worker, for longer each time until a run ends well there.
-func (s *State) isolate(w *worker, why string) {
-	if s.now < w.closedUntil {
-		return
-	}
-	w.quarantine = min(max(s.Quarantine, 2*w.quarantine), maxQuarantine)
-	w.closedUntil = s.now + w.quarantine
-	s.line("worker quarantined", slog.String("worker", w.ID), slog.String("why", why), slog.Int("strikes", w.strikes),
-		slog.Int64("forMs", w.quarantine))
-}
-
-// maxQuarantine bounds the time that a worker is left alone, in milliseconds.
-const maxQuarantine = 20_000
-
 // sorted returns attempts in a fixed order, so that equal events give equal effects.
 func sorted(m map[order.Name]*attempt) []*attempt {
 	if len(m) == 0 {
