The outline of an ended job is no new job

The outline of a job that it has forgotten would open a job without steps, which counts as completed at once and would overwrite how the job ended. Change: such an outline is passed over. Test: TestOutlineIsNoNewJob (fails before).

--- a/internal/yard/foreman/jobs.go
+++ b/internal/yard/foreman/jobs.go
@@ -12,6 +12,10 @@
 		return
 	}
 	j := s.jobs[e.Spec.ID]
+	if j == nil && e.Spec.IsOutline() {
+		// The job has ended and was forgotten here; its records are read again.
+		return
+	}
 	if j == nil {
 		spec := *e.Spec
 		j = s.addJob(spec.ID, &book.Job{Spec: &spec}, nil)
--- a/internal/yard/foreman/unlisted_test.go
+++ b/internal/yard/foreman/takeover_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/limpetrelay/limpetrelay/internal/yard/book"
 	"github.com/limpetrelay/limpetrelay/internal/yard/crew"
@@ -41,3 +42,21 @@
 	}
 	assert.Contains(t, targets(es), "10.0.0.1:1")
 }
+
+// The records of ended jobs are read again when the store has dropped its history; no
+// job comes back to life, and none is recorded anew.
+func TestOutlineIsNoNewJob(t *testing.T) {
+	spec := batch("b", 1, 1000)
+	outline, err := spec.Outline()
+	require.NoError(t, err)
+	s := foreman.State{Term: 7}
+	s.Start(1000, 1000, &book.Book{}, book.Details{}, configuration(0), true)
+	s.Apply(&foreman.Event{Now: 1010, Job: &foreman.JobChanged{Spec: &outline}})
+	open, _, _ := s.Open()
+	assert.Zero(t, open)
+	for _, e := range s.Apply(&foreman.Event{Now: 2000}) {
+		if e.Record != nil {
+			assert.Len(t, e.Record.Records, 1, "a pulse only")
+		}
+	}
+}
