TestProgressIsSmall keeps its old bound for a single task too

Cause: read in the diff: the new bound for placed tasks is tighter for many tasks, but was looser for one (105 bytes against 90). Change: the lower of both bounds counts. Ruled out: a change of the encoding; it stays under both.

--- a/internal/yard/order/order_test.go
+++ b/internal/yard/order/order_test.go
@@ -25,11 +25,11 @@
 			require.NoError(t, err)
 			return len(b)
 		}
-		assert.Less(t, size(), 80+25*n, "placed, with checkpoints, %d tasks", n)
+		assert.Less(t, size(), min(40+50*n, 80+25*n), "placed, with checkpoints, %d tasks", n)
 		for i := range tasks {
 			tasks[i].Checkpoint = ""
 		}
-		assert.Less(t, size(), 80+3*n, "placed, %d tasks", n)
+		assert.Less(t, size(), min(40+50*n, 80+3*n), "placed, %d tasks", n)
 		for i := range tasks {
 			tasks[i].Checkpoint = "00000bb87a21d94b"
 		}
