TestFollowersReadNoTasks sees each of its two guards removed

Cause: with one guard taken out at a time (tasks left in the records of all hosts; a record at each change) the test still passed; only both together failed it (56,343 bytes against a bound of 18,458). Change: jobs of 40 tasks must cost what jobs of 2 cost, within 5 %, in place of twice as much. With either guard out the test now fails. Ruled out: a fault of the code; the bytes differ by less than 5 %.

--- a/internal/yard/foreman/followers_test.go
+++ b/internal/yard/foreman/followers_test.go
@@ -25,6 +25,6 @@
 		return w.FollowedBytes
 	}
 	few, many := bytes(2), bytes(40)
-	assert.Less(t, many, 2*few)
+	assert.InEpsilon(t, few, many, 0.05)
 	assert.Less(t, many, 40*600, "600 bytes a job")
 }
