Schedule without looking at every worker and task for each waiting step

Each pass sorted all workers and all urgent jobs, built a request from every task of every job, marked all candidates for each request and tried each request again that cannot fit; each tick sorted all attempts, and the end of a job looked at the attempts of all workers. Change: requests are kept per job until its tasks change, marks are set and cleared only where they differ, a pass remembers what was impossible and does not try a request that asks for at least as much, possible victims are collected once a pass, and jobs know their attempts. Which places are chosen does not change.

--- a/internal/scheduling/coordinator/attempt.go
+++ b/internal/scheduling/coordinator/attempt.go
@@ -105,7 +105,7 @@
 func (s *State) newAttempt(u *unit, index int, w *worker) *attempt {
 	a := &attempt{unit: u, index: index, w: w, need: u.spec().Reserved(), progressedAt: s.now}
 	u.attempts = append(u.attempts, a)
-	u.job.liveAttempts++
+	u.job.addAttempt(a)
 	w.attempts[a.taskID()] = a
 	w.used = w.used.Add(a.need)
 	return a
@@ -190,7 +190,7 @@
 	}
 	w.removed[a.taskID()] = removedRun{run: a.run, at: s.now}
 	w.used = w.used.Sub(a.need)
-	a.job.liveAttempts--
+	delete(a.job.attempts, a)
 	u := a.unit
 	if i := slices.Index(u.attempts, a); i >= 0 {
 		u.attempts = slices.Delete(slices.Clone(u.attempts), i, i+1)
@@ -501,15 +501,12 @@
 // endJob ends a job in the given state and stops its remaining attempts.
 func (s *State) endJob(j *job, state jobspec.State, why string) {
 	j.progress.State, j.progress.EndedAt = state, s.wall
+	s.guaranteesValid = false
 	s.markDirty(j)
 	s.log("job ended", slog.String("id", j.id), slog.String("state", string(state)), slog.String("why", why),
 		slog.Int64("ageMs", s.now-j.acceptedAt), slog.Int64("spareMs", j.deadline-s.now))
-	for _, w := range s.workers {
-		for _, a := range w.attempts {
-			if a.job == j {
-				s.stop(a, "the job has ended: "+string(state))
-			}
-		}
+	for _, a := range j.sortedAttempts() {
+		s.stop(a, "the job has ended: "+string(state))
 	}
 }
 
--- a/internal/scheduling/coordinator/jobs.go
+++ b/internal/scheduling/coordinator/jobs.go
@@ -38,7 +38,7 @@
 		if j.spec.Occurrences > 0 && s.wall < j.spec.Due(k) {
 			return
 		}
-		j.progress.Occurrences = append(j.progress.Occurrences, j.spec.NewOccurrence())
+		j.progress.Occurrences, j.requestsValid = append(j.progress.Occurrences, j.spec.NewOccurrence()), false
 	}
 }
 
@@ -54,7 +54,7 @@
 // forgetEndedJobs drops the jobs whose retention time has passed.
 func (s *State) forgetEndedJobs() {
 	for id, j := range s.jobs {
-		if j.progress.State.Ended() && j.liveAttempts == 0 && s.wall > j.progress.EndedAt+s.Retention+retentionSlack {
+		if j.progress.State.Ended() && len(j.attempts) == 0 && s.wall > j.progress.EndedAt+s.Retention+retentionSlack {
 			delete(s.jobs, id)
 			s.recordsToDrop = append(s.recordsToDrop, id)
 		}
--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -43,12 +43,20 @@
 	// reservedFor. Only that gang and urgent requests may use them.
 	reserved    map[int]bool
 	reservedFor jobspec.TaskID
+	// indices holds the index of each worker by its ID.
+	indices map[string]int
+	// marked holds the indices of the candidates whose marks were set for the last request.
+	// ownExclusions is set if some were excluded for reasons of that request alone.
+	marked        []int
+	ownExclusions bool
+	refusals      []refusal
+	// victimSets holds the possible victims by their lowest rank; nil after a preemption.
+	victimSets map[int]*victimSet
 }
 
 // plan runs a scheduling pass: it tries to place all waiting tasks, in the order of
 // requests.
 func (s *State) plan() {
-	s.applyGuarantees()
 	rs := s.requests()
 	if len(rs) == 0 {
 		return
@@ -61,7 +69,7 @@
 			pool = s.newPool(r.spec.Service)
 			pools[r.spec.Service] = pool
 		}
-		if len(pool.candidates) == 0 || s.skipRetry(r) || s.mustAwaitAdvice(r, pool) {
+		if len(pool.candidates) == 0 || s.mustAwaitAdvice(r, pool) {
 			continue
 		}
 		s.place(r, pool)
@@ -102,27 +110,25 @@
 	return false
 }
 
-// requests returns a request for each step that has waiting tasks and whose preceding
-// steps are done. They are ordered by rank; within a rank, those that can still meet
-// their deadline come first, then by deadline.
+// requests returns a request for each step that has waiting tasks, whose preceding steps
+// are done, and for which a placement attempt is worthwhile. They are ordered by rank;
+// within a rank, those that can still meet their deadline come first, then by deadline.
 func (s *State) requests() []request {
+	s.applyGuarantees()
 	var rs []request
 	for _, j := range s.jobs {
 		if j.progress.State.Ended() {
 			continue
 		}
 		s.openOccurrences(j)
-		for occurrence, steps := range j.progress.Occurrences {
-			if steps == nil {
-				continue
-			}
-			for step := range steps {
-				if !j.spec.Ready(steps, step) {
-					continue
-				}
-				if r := s.request(j, occurrence, step, steps[step]); len(r.indices) > 0 {
-					rs = append(rs, r)
-				}
+		if !j.requestsValid {
+			j.requests, j.requestsValid = s.jobRequests(j, j.requests[:0]), true
+		}
+		for i := range j.requests {
+			r := j.requests[i]
+			r.rank, r.laxity = s.rank(j), j.deadline-s.now-j.spec.Steps[r.step].Estimate
+			if !s.skipRetry(&r) {
+				rs = append(rs, r)
 			}
 		}
 	}
@@ -134,6 +140,24 @@
 	return rs
 }
 
+// jobRequests appends a request for each step of a job with tasks to place to rs.
+func (s *State) jobRequests(j *job, rs []request) []request {
+	for occurrence, steps := range j.progress.Occurrences {
+		if steps == nil {
+			continue
+		}
+		for step := range steps {
+			if !j.spec.Ready(steps, step) {
+				continue
+			}
+			if r := s.request(j, occurrence, step, steps[step]); len(r.indices) > 0 {
+				rs = append(rs, r)
+			}
+		}
+	}
+	return rs
+}
+
 // lateness returns 0 for a request that can still meet its deadline and 1 for any other.
 func lateness(laxity int64) int {
 	if laxity < 0 {
@@ -142,11 +166,10 @@
 	return 0
 }
 
-// request returns a request for the waiting tasks of a step. It has no indices if
-// nothing can be placed.
+// request returns a request for the waiting tasks of a step, without rank and laxity. It
+// has no indices if nothing can be placed.
 func (s *State) request(j *job, occurrence, step int, tasks []jobspec.Task) request {
-	r := request{job: j, occurrence: occurrence, step: step, rank: s.rank(j)}
-	r.laxity = j.deadline - s.now - j.spec.Steps[step].Estimate
+	r := request{job: j, occurrence: occurrence, step: step}
 	live := 0
 	for i := range tasks {
 		switch tasks[i].Phase {
@@ -178,9 +201,10 @@
 // applyGuarantees determines which urgent jobs are covered by the guarantees of their
 // organisations. Older jobs take precedence.
 func (s *State) applyGuarantees() {
-	if s.config == nil {
+	if s.config == nil || s.guaranteesValid {
 		return
 	}
+	s.guaranteesValid = true
 	var urgent []*job
 	for _, j := range s.jobs {
 		j.guaranteed = false
@@ -216,16 +240,18 @@
 // newPool returns the candidates of a service, ordered by worker ID, with the
 // reservation in force.
 func (s *State) newPool(service string) *candidatePool {
-	pool := &candidatePool{}
-	for _, w := range s.workers {
-		if w.Service == service && !s.unschedulable(w) {
-			pool.workers = append(pool.workers, w)
-		}
+	pool := &candidatePool{
+		workers: make([]*worker, 0, len(s.workers)), candidates: make([]placement.Candidate, 0, len(s.workers)),
+		indices: make(map[string]int, len(s.workers)),
 	}
-	slices.SortFunc(pool.workers, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
-	for _, w := range pool.workers {
+	for _, w := range s.sortedWorkers() {
+		if w.Service != service || s.unschedulable(w) {
+			continue
+		}
+		pool.indices[w.ID] = len(pool.workers)
+		pool.workers = append(pool.workers, w)
 		pool.candidates = append(pool.candidates, placement.Candidate{
-			ID: w.ID, Rack: w.rack, Labels: w.Labels, Free: w.Capacity.Sub(w.used), Capacity: w.Capacity,
+			ID: w.ID, Rack: w.rack, Labels: w.Labels, Free: w.Capacity.Sub(w.used), Capacity: w.Capacity, Avoided: w.failures > 0,
 		})
 	}
 	pool.racks = placement.ByRack(pool.candidates)
@@ -243,29 +269,61 @@
 // markCandidates sets, for one request, which candidates are excluded or to be avoided
 // and how many tasks of the step each already runs.
 func (s *State) markCandidates(r *request, pool *candidatePool) {
+	pool.clearMarks()
 	step := &r.spec.Steps[r.step]
-	avoid := r.avoidedWorkers[r.step]
-	advised := s.requiresAdvice(r.job)
-	reserved := pool.reserved
-	if r.rank < rankNonUrgent || pool.reservedFor == stepID(r.job, r.occurrence, r.step) {
-		reserved = nil
-	}
-	for i := range pool.candidates {
-		candidate, w := &pool.candidates[i], pool.workers[i]
-		avoidedAt, isAvoided := avoid[w.ID]
-		candidate.Avoided = w.failures > 0 || isAvoided
-		candidate.Excluded = reserved[i] || isAvoided && s.now < avoidedAt+avoidDuration || advised && !s.permitted(r, w)
-		candidate.StepTasks = 0
-		if step.MaxPerWorker > 0 {
-			for id := range w.attempts {
-				if id.Job == r.id && id.Occurrence == r.occurrence && id.Step == r.step {
-					candidate.StepTasks++
-				}
+	for id, avoidedAt := range r.avoidedWorkers[r.step] {
+		i, ok := pool.indices[id]
+		if !ok {
+			continue
+		}
+		candidate := pool.mark(i)
+		candidate.Avoided = true
+		if s.now < avoidedAt+avoidDuration {
+			candidate.Excluded, pool.ownExclusions = true, true
+		}
+	}
+	if pool.excludesReserved(r) {
+		for i := range pool.reserved {
+			pool.mark(i).Excluded = true
+		}
+	}
+	if s.requiresAdvice(r.job) {
+		pool.ownExclusions = true
+		for i, w := range pool.workers {
+			if !s.permitted(r, w) {
+				pool.mark(i).Excluded = true
+			}
+		}
+	}
+	if step.MaxPerWorker > 0 {
+		for a := range r.attempts {
+			if i, ok := pool.indices[a.w.ID]; ok && a.occurrence == r.occurrence && a.step == r.step {
+				pool.mark(i).StepTasks++
 			}
 		}
 	}
 }
 
+// mark returns a candidate whose marks are about to be changed.
+func (pool *candidatePool) mark(i int) *placement.Candidate {
+	pool.marked = append(pool.marked, i)
+	return &pool.candidates[i]
+}
+
+// clearMarks resets the marks of the last request.
+func (pool *candidatePool) clearMarks() {
+	for _, i := range pool.marked {
+		candidate := &pool.candidates[i]
+		candidate.Avoided, candidate.Excluded, candidate.StepTasks = pool.workers[i].failures > 0, false, 0
+	}
+	pool.marked, pool.ownExclusions = pool.marked[:0], false
+}
+
+// excludesReserved reports whether r may not use the reserved workers.
+func (pool *candidatePool) excludesReserved(r *request) bool {
+	return len(pool.reserved) > 0 && r.rank >= rankNonUrgent && pool.reservedFor != stepID(r.job, r.occurrence, r.step)
+}
+
 // avoidDuration is how long a step is not placed again on a worker where one of its
 // tasks failed, stalled or was rejected as invalid, in milliseconds. Within this time a
 // worker on which every task fails is quarantined, and a job that fails everywhere has
@@ -275,16 +333,26 @@
 // place tries to place the tasks of a request, and preempts other work for urgent
 // ones. A gang is placed as a whole; the tasks of other steps as far as they fit.
 func (s *State) place(r *request, pool *candidatePool) {
-	s.markCandidates(r, pool)
 	step := &r.spec.Steps[r.step]
 	demand := &placement.Request{Tasks: len(r.indices), Step: step}
 	if step.Gang {
 		s.placeGang(r, pool, demand)
 		return
 	}
+	full := pool.refused(r, placeSingle, 1)
+	if full && r.rank > rankUrgent {
+		return
+	}
+	s.markCandidates(r, pool)
 	eligible := s.localCandidates(r, pool, demand)
-	places := placement.Fill(pool.candidates, eligible, demand)
-	s.commitPlacement(r, pool, r.indices[:len(places)], places, nil)
+	var places []int
+	if !full {
+		places = placement.Fill(pool.candidates, eligible, demand)
+		s.commitPlacement(r, pool, r.indices[:len(places)], places, nil)
+		if len(places) < demand.Tasks && len(eligible) == len(pool.candidates) {
+			pool.refuse(r, placeSingle, 1)
+		}
+	}
 	if rest := r.indices[len(places):]; len(rest) > 0 && r.rank <= rankUrgent {
 		s.preempt(r, pool, rest, &placement.Request{Tasks: len(rest), Step: step}, eligible)
 	}
@@ -330,27 +398,18 @@
 // placeGang places all tasks of a gang or none. If a gang does not fit, it preempts
 // other work if it is urgent, and otherwise may reserve candidates.
 func (s *State) placeGang(r *request, pool *candidatePool, demand *placement.Request) {
+	if r.rank > rankUrgent && !s.mayReserve(r, pool) && pool.refused(r, placeRack, demand.Tasks) && pool.refused(r, placeSpread, demand.Tasks) {
+		return
+	}
+	s.markCandidates(r, pool)
 	step := &r.spec.Steps[r.step]
 	inRack := step.SameRack && placement.FitsRack(pool.candidates, pool.racks, demand)
-	if inRack {
-		if places := placement.PlaceInRack(pool.candidates, s.localRacks(r, pool, demand), demand); places != nil {
-			s.commitPlacement(r, pool, r.indices, places, nil)
-			return
-		}
-	} else if places := placement.PlaceAnywhere(pool.candidates, demand); len(places) == demand.Tasks {
-		s.commitPlacement(r, pool, r.indices, places, nil)
+	if inRack && s.placeInRack(r, pool, demand) || !inRack && s.placeAnywhere(r, pool, demand) {
 		return
 	}
 	if r.rank <= rankUrgent {
 		if inRack {
-			if s.preemptInRack(r, pool, demand) {
-				return
-			}
-			if s.age(r) < urgentRackWait {
-				return
-			}
-			if places := placement.PlaceAnywhere(pool.candidates, demand); len(places) == demand.Tasks {
-				s.commitPlacement(r, pool, r.indices, places, nil)
+			if s.preemptInRack(r, pool, demand) || s.age(r) < urgentRackWait || s.placeAnywhere(r, pool, demand) {
 				return
 			}
 		}
@@ -360,6 +419,39 @@
 	s.reserveForGang(r, pool, demand, inRack)
 }
 
+// placeInRack places a gang on one of the racks that it may use now, if there is room.
+func (s *State) placeInRack(r *request, pool *candidatePool, demand *placement.Request) bool {
+	if pool.refused(r, placeRack, demand.Tasks) {
+		return false
+	}
+	racks := s.localRacks(r, pool, demand)
+	places := placement.PlaceInRack(pool.candidates, racks, demand)
+	if places == nil {
+		if len(racks) == len(pool.racks) {
+			pool.refuse(r, placeRack, demand.Tasks)
+		}
+		return false
+	}
+	s.commitPlacement(r, pool, r.indices, places, nil)
+	return true
+}
+
+// placeAnywhere places a gang on any candidates, if there is room for all its tasks.
+func (s *State) placeAnywhere(r *request, pool *candidatePool, demand *placement.Request) bool {
+	if pool.refused(r, placeSpread, demand.Tasks) {
+		return false
+	}
+	places := placement.PlaceAnywhere(pool.candidates, demand)
+	if len(places) < demand.Tasks {
+		// A gang that does not fit on all workers fits on no rack either.
+		pool.refuse(r, placeSpread, demand.Tasks)
+		pool.refuse(r, placeRack, demand.Tasks)
+		return false
+	}
+	s.commitPlacement(r, pool, r.indices, places, nil)
+	return true
+}
+
 // localRacks returns the racks that a gang may use now. As in localCandidates, a gang
 // that is not urgent waits for the rack that holds its data, provided that the rack
 // could hold the gang when empty.
@@ -438,6 +530,9 @@
 		slog.Int("run", units[0].run), slog.Int("rank", r.rank), slog.Int64("waitedMs", s.age(r)),
 		slog.Int64("spareMs", r.laxity), slog.Int("stops", len(blockers)), slog.String("worker", pool.workers[places[0]].ID),
 		slog.Int("workers", len(pool.candidates)))
+	if len(victims) > 0 {
+		pool.victimSets = nil
+	}
 	for _, v := range victims {
 		v.aborted = true
 		s.stopUnit(v, "displaced for "+j.id)
--- a/internal/scheduling/coordinator/preempt.go
+++ b/internal/scheduling/coordinator/preempt.go
@@ -10,8 +10,12 @@
 // preemptInRack places all tasks of a request on one rack by preempting other work, on
 // the rack where this has the lowest cost. It reports whether it found such a rack.
 func (s *State) preemptInRack(r *request, pool *candidatePool, demand *placement.Request) bool {
+	if pool.refused(r, preemptRack, demand.Tasks) {
+		return false
+	}
 	for _, minRank := range preemptableRanks(r) {
-		units, victims, byRack := s.victims(pool, minRank)
+		set := s.victims(pool, minRank)
+		units, victims, byRack := set.units, set.victims, set.byRack
 		var places, stopped []int
 		bestCost := -1.0
 		for _, rack := range sortedKeys(pool.racks) {
@@ -28,6 +32,7 @@
 			return true
 		}
 	}
+	pool.refuse(r, preemptRack, demand.Tasks)
 	return false
 }
 
@@ -44,8 +49,12 @@
 // preempt places the tasks at indices on the eligible candidates by preempting other
 // work, or does nothing if that does not free enough capacity for all of them.
 func (s *State) preempt(r *request, pool *candidatePool, indices []int, demand *placement.Request, eligible []int) {
+	if pool.refused(r, preemptSpread, demand.Tasks) {
+		return
+	}
 	for _, minRank := range preemptableRanks(r) {
-		units, victims, _ := s.victims(pool, minRank)
+		set := s.victims(pool, minRank)
+		units, victims := set.units, set.victims
 		all := make([]int, len(victims))
 		for i := range all {
 			all[i] = i
@@ -56,6 +65,9 @@
 			return
 		}
 	}
+	if len(eligible) == len(pool.candidates) {
+		pool.refuse(r, preemptSpread, demand.Tasks)
+	}
 }
 
 func selectUnits(units []*unit, indices []int) []*unit {
@@ -77,9 +89,14 @@
 
 // victims returns the units of minRank or higher that may be preempted, the cost and the
 // freed resources of each, and the indices of the units that run on each rack.
-func (s *State) victims(pool *candidatePool, minRank int) (units []*unit, victims []placement.Victim, byRack map[string][]int) {
+func (s *State) victims(pool *candidatePool, minRank int) *victimSet {
+	if set := pool.victimSets[minRank]; set != nil {
+		return set
+	}
+	var units []*unit
+	var victims []placement.Victim
 	positions := make(map[*unit]int)
-	byRack = make(map[string][]int)
+	byRack := make(map[string][]int)
 	for i, w := range pool.workers {
 		for _, a := range sortedAttempts(w.attempts) {
 			if a.orphan || a.phase == phaseStopping || a.phase == phasePlanned || s.rank(a.job) < minRank ||
@@ -104,7 +121,11 @@
 		slices.Sort(indices)
 		byRack[rack] = slices.Compact(indices)
 	}
-	return units, victims, byRack
+	if pool.victimSets == nil {
+		pool.victimSets = make(map[int]*victimSet)
+	}
+	pool.victimSets[minRank] = &victimSet{units: units, victims: victims, byRack: byRack}
+	return pool.victimSets[minRank]
 }
 
 // restartCost is the fixed cost of preempting a unit, in core seconds, since its tasks
--- a/internal/scheduling/coordinator/recorder.go
+++ b/internal/scheduling/coordinator/recorder.go
@@ -32,8 +32,10 @@
 // nextBatch returns the number of the batch that will contain a change made now.
 func (s *State) nextBatch() uint64 { return s.batch + 1 }
 
-// markDirty schedules a job to be recorded in the next batch.
+// markDirty schedules a job to be recorded in the next batch. It must be called for each
+// change of the job's tasks.
 func (s *State) markDirty(j *job) {
+	j.requestsValid = false
 	if !j.dirty {
 		j.dirty = true
 		s.dirtyJobs = append(s.dirtyJobs, j)
--- /dev/null
+++ b/internal/scheduling/coordinator/refusal.go
@@ -0,0 +1,77 @@
+package coordinator
+
+import (
+	"slices"
+
+	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobspec"
+	"github.com/limpetrelay/limpetrelay/internal/scheduling/placement"
+)
+
+// refusal records that a placement was impossible earlier in a scheduling pass. Free
+// capacity and the set of possible victims only shrink within a pass, so a request that
+// asks for at least as much need not be tried.
+type refusal struct {
+	method placementMethod
+	need   jobspec.Resources
+	// label is the label that the workers need; empty if any worker was tried.
+	label string
+	// tasks is the number of tasks that could not be placed together.
+	tasks int
+	// rank is the rank of the request, which determines the possible victims.
+	rank int
+	// reserved is set if the reserved workers were excluded.
+	reserved bool
+}
+
+// placementMethod is a way of finding places.
+type placementMethod uint8
+
+const (
+	// placeSingle places tasks independently of each other.
+	placeSingle placementMethod = iota
+	// placeRack and placeSpread place a gang on one rack or on any workers.
+	placeRack
+	placeSpread
+	// preemptRack and preemptSpread do the same by preempting other work.
+	preemptRack
+	preemptSpread
+)
+
+// covers reports whether f implies that q is impossible too.
+func (f *refusal) covers(q *refusal) bool {
+	return f.method == q.method && f.tasks <= q.tasks && f.rank <= q.rank && (f.label == "" || f.label == q.label) &&
+		(!f.reserved || q.reserved) && f.need.Within(q.need)
+}
+
+// refusal returns what r asks for when its tasks are placed by the given method.
+func (pool *candidatePool) refusal(r *request, method placementMethod, tasks int) refusal {
+	step := &r.spec.Steps[r.step]
+	f := refusal{method: method, need: step.Reserved(), label: step.Label, tasks: tasks, reserved: pool.excludesReserved(r)}
+	if method == preemptRack || method == preemptSpread {
+		f.rank = r.rank
+	}
+	return f
+}
+
+// refused reports whether the placement is known to be impossible in this pass.
+func (pool *candidatePool) refused(r *request, method placementMethod, tasks int) bool {
+	q := pool.refusal(r, method, tasks)
+	return slices.ContainsFunc(pool.refusals, func(f refusal) bool { return f.covers(&q) })
+}
+
+// refuse records that a placement was impossible, unless candidates were excluded that
+// other requests may use.
+func (pool *candidatePool) refuse(r *request, method placementMethod, tasks int) {
+	step := &r.spec.Steps[r.step]
+	if pool.ownExclusions || step.MaxPerWorker > 0 {
+		return
+	}
+	pool.refusals = append(pool.refusals, pool.refusal(r, method, tasks))
+}
+
+// victimSet holds the units that may be preempted in a pass, as returned by victims.
+type victimSet struct {
+	units   []*unit
+	victims []placement.Victim
+	byRack  map[string][]int
+}
--- a/internal/scheduling/coordinator/reservation.go
+++ b/internal/scheduling/coordinator/reservation.go
@@ -14,7 +14,7 @@
 // most free capacity. Each service has at most one reservation at a time. Nothing is
 // reserved before reservationDelay, or if the gang can no longer meet its deadline.
 func (s *State) reserveForGang(r *request, pool *candidatePool, demand *placement.Request, inRack bool) {
-	if pool.reserved != nil && pool.reservedFor != stepID(r.job, r.occurrence, r.step) || s.age(r) < reservationDelay || lateness(r.laxity) > 0 {
+	if !s.mayReserve(r, pool) {
 		return
 	}
 	if !placement.FitsAnywhere(pool.candidates, demand) {
@@ -43,6 +43,14 @@
 	}
 }
 
+// mayReserve reports whether candidates may be reserved for a gang now.
+func (s *State) mayReserve(r *request, pool *candidatePool) bool {
+	if pool.reserved != nil && pool.reservedFor != stepID(r.job, r.occurrence, r.step) {
+		return false
+	}
+	return s.age(r) >= reservationDelay && lateness(r.laxity) == 0
+}
+
 // reservation is the set of workers reserved for one gang of a service.
 type reservation struct {
 	gang    jobspec.TaskID
@@ -53,6 +61,8 @@
 // until activeReservation finds the reservation obsolete.
 func (s *State) saveReservation(r *request, pool *candidatePool) {
 	pool.reservedFor = stepID(r.job, r.occurrence, r.step)
+	// A new reservation may leave out workers of the old one.
+	pool.refusals = slices.DeleteFunc(pool.refusals, func(f refusal) bool { return f.reserved })
 	res := &reservation{gang: pool.reservedFor, workers: make(map[string]bool, len(pool.reserved))}
 	for i := range pool.reserved {
 		res.workers[pool.workers[i].ID] = true
--- a/internal/scheduling/coordinator/state.go
+++ b/internal/scheduling/coordinator/state.go
@@ -1,8 +1,10 @@
 package coordinator
 
 import (
+	"cmp"
 	"fmt"
 	"log/slog"
+	"slices"
 
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobspec"
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobstate"
@@ -115,6 +117,10 @@
 	// the time of the last scheduling pass.
 	planDue   bool
 	plannedAt int64
+	// guaranteesValid is set while the guarantees are applied to the current jobs.
+	guaranteesValid bool
+	// byID holds the workers ordered by ID; nil if it has to be made anew.
+	byID []*worker
 	// reservations holds the workers reserved for a waiting gang, by service.
 	reservations map[string]*reservation
 	// capacityGains counts the changes that may have made capacity available. If it is
@@ -135,9 +141,12 @@
 	// acceptedAt is an estimate of when the job was accepted, on the clock of Event.Now.
 	// deadline is acceptedAt plus the job's objective.
 	acceptedAt, deadline int64
-	// liveAttempts is the number of the job's attempts that are not over, orphans
-	// included.
-	liveAttempts int
+	// attempts holds the job's attempts that are not over, orphans included.
+	attempts map[*attempt]struct{}
+	// requests holds the job's requests as of the last pass, without rank and laxity. They
+	// are computed anew if requestsValid is not set.
+	requests      []request
+	requestsValid bool
 	// avoidedWorkers holds, by step and worker ID, when a task of the step last failed
 	// or stalled on the worker or was rejected there as invalid.
 	avoidedWorkers map[int]map[string]int64
@@ -167,7 +176,7 @@
 			continue
 		}
 		n := s.addJob(id, j, details[id])
-		runs += n.liveAttempts
+		runs += len(n.attempts)
 	}
 	for id := range details {
 		if s.jobs[id] == nil {
@@ -187,7 +196,7 @@
 func (s *State) addJob(id string, entry *jobstate.Job, detail *jobspec.Progress) *job {
 	j := &job{id: id, spec: entry.Spec, cancelled: entry.Cancelled, acceptedAt: s.now}
 	j.acceptedAt -= min(max(0, s.wall-entry.Spec.AcceptedAt), maxInitialAge)
-	s.jobs[id] = j
+	s.jobs[id], s.guaranteesValid = j, false
 	j.progress = &jobspec.Progress{State: jobspec.Queued}
 	if p := entry.Progress; p != nil {
 		j.recordedView = callerView{state: p.State, started: p.Started}
@@ -218,6 +227,26 @@
 // accepted it, whose clock may be wrong. In milliseconds.
 const maxInitialAge = 60_000
 
+// addAttempt adds an attempt to its job.
+func (j *job) addAttempt(a *attempt) {
+	if j.attempts == nil {
+		j.attempts = make(map[*attempt]struct{})
+	}
+	j.attempts[a] = struct{}{}
+}
+
+// sortedAttempts returns the job's attempts in a fixed order.
+func (j *job) sortedAttempts() []*attempt {
+	as := make([]*attempt, 0, len(j.attempts))
+	for a := range j.attempts {
+		as = append(as, a)
+	}
+	slices.SortFunc(as, func(a, b *attempt) int {
+		return cmp.Or(compareTaskIDs(a.taskID(), b.taskID()), cmp.Compare(a.run, b.run), cmp.Compare(a.w.ID, b.w.ID))
+	})
+	return as
+}
+
 // applyRoute copies the settings of the job's route in the current configuration to
 // its spec and computes its deadline.
 func (s *State) applyRoute(j *job) {
@@ -274,7 +303,7 @@
 	case e.Replaced != "":
 		s.resign(e.Replaced)
 	case e.Configured != nil:
-		s.config = e.Configured
+		s.config, s.guaranteesValid = e.Configured, false
 		for _, j := range s.jobs {
 			s.applyRoute(j)
 		}
--- a/internal/scheduling/coordinator/worker.go
+++ b/internal/scheduling/coordinator/worker.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"log/slog"
 	"maps"
 	"slices"
@@ -82,7 +83,7 @@
 	if w == nil {
 		w = &worker{attempts: make(map[jobspec.TaskID]*attempt)}
 		w.ID = id
-		s.workers[id] = w
+		s.workers[id], s.byID = w, nil
 	}
 	return w
 }
@@ -405,11 +406,44 @@
 	}
 	if !w.listed && len(w.attempts) == 0 && w.unlistedAt != 0 && s.now-w.unlistedAt > unlistedRetention {
 		delete(s.workers, w.ID)
+		s.byID = nil
 		return
 	}
-	for _, a := range sortedAttempts(w.attempts) {
-		s.checkAttempt(a)
+	var due []*attempt
+	for _, a := range w.attempts {
+		if s.checkDue(a) {
+			due = append(due, a)
+		}
+	}
+	slices.SortFunc(due, compareAttempts)
+	for _, a := range due {
+		if w.attempts[a.taskID()] == a {
+			s.checkAttempt(a)
+		}
+	}
+}
+
+// checkDue reports whether checkAttempt may have something to do for a.
+func (s *State) checkDue(a *attempt) bool {
+	switch a.phase {
+	case phaseStopping, phasePlanned:
+		return true
+	case phaseRunning:
+		return a.reportedAt-a.progressedAt >= minStallTime
+	case phaseSent, phaseUnconfirmed:
+	}
+	return false
+}
+
+// sortedWorkers returns all workers ordered by ID.
+func (s *State) sortedWorkers() []*worker {
+	if s.byID == nil {
+		for _, w := range s.workers {
+			s.byID = append(s.byID, w)
+		}
+		slices.SortFunc(s.byID, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
 	}
+	return s.byID
 }
 
 // unlistedRetention is how long the state of a worker without an entry and without
@@ -485,6 +519,9 @@
 	for _, a := range m {
 		as = append(as, a)
 	}
-	slices.SortFunc(as, func(a, b *attempt) int { return compareTaskIDs(a.taskID(), b.taskID()) })
+	slices.SortFunc(as, compareAttempts)
 	return as
 }
+
+// compareAttempts orders attempts of one worker by their tasks.
+func compareAttempts(a, b *attempt) int { return compareTaskIDs(a.taskID(), b.taskID()) }
--- a/internal/scheduling/jobspec/resources.go
+++ b/internal/scheduling/jobspec/resources.go
@@ -34,6 +34,9 @@
 
 // Fit returns how many times r fits into s, at most limit.
 func (r Resources) Fit(s Resources, limit int) int {
+	if !r.Within(s) {
+		return 0
+	}
 	n := int64(limit)
 	for _, p := range [...][2]int64{{r.Cores, s.Cores}, {r.Memory, s.Memory}, {r.Accelerators, s.Accelerators}} {
 		if p[0] > 0 {
