Pace polls and starts by the coordinator's processor share too

The coordinator of a 0.12-core host makes 600 calls a second at 0.27 ms of processor time each, all of what it has; it then misses the renewal of its claim (1.1 s) and the role changes hands in the middle of the burst. Change: one meter for all calls and one for polls, by link and processor share. Polls wait in a queue in the order in which they are due, starts by rank.

--- a/internal/host/frontend/leader.go
+++ b/internal/host/frontend/leader.go
@@ -34,6 +34,9 @@
 	// coordinator only if no other host does.
 	requiredCoreShare = 0.4
 	smallHostDelay    = 3000
+	// callsPerCore is the number of calls to workers and the store that a coordinator makes
+	// with one second of a core, scheduling and log lines included.
+	callsPerCore = 3700
 	// ineligiblePeriod is how long a host does not claim the role after it lost it or
 	// failed to read the details, in milliseconds.
 	ineligiblePeriod = 5000
@@ -156,7 +159,7 @@
 		state: coordinator.State{
 			Settings: coordinator.Settings{
 				Lease: min(workerLease, settings.MaxLease), GangWait: settings.GangWait, RemoteFactor: settings.RemoteFactor, RestoreTime: settings.RestoreTime,
-				Retention: settings.Retention, LinkRate: settings.LinkRate, Host: h.Name(), Incarnation: h.Incarnation,
+				Retention: settings.Retention, LinkRate: settings.LinkRate, CallRate: settings.CoreShare * callsPerCore, Host: h.Name(), Incarnation: h.Incarnation,
 			},
 			Term: term,
 		},
--- a/internal/scheduling/coordinator/attempt.go
+++ b/internal/scheduling/coordinator/attempt.go
@@ -36,7 +36,7 @@
 	attempts         []*attempt
 	// batch is the batch that records the placement, and recorded is set once it is
 	// in the store. sent is set once start orders were sent.
-	// queued is set while the start orders wait for the link.
+	// queued is set while the start orders wait for their turn.
 	batch                  uint64
 	recorded, sent, queued bool
 	// blockers is the number of preempted attempts that must still end before the unit
@@ -153,10 +153,10 @@
 	if t != nil {
 		checkpoint = t.Checkpoint
 	}
-	s.chargeLink(orderOverhead + len(a.job.spec.Payload))
+	s.charge(orderOverhead + len(a.job.spec.Payload))
 	s.effects = append(s.effects, Effect{Start: &Start{Target: w.target(), Order: placement.Start{
 		Task: a.taskID(), Run: a.run, Payload: a.job.spec.Payload, Lease: leaseEnd, Token: s.Term,
-		Checkpoint: checkpoint, Ticket: s.ticket(a), Delay: s.linkDelay(),
+		Checkpoint: checkpoint, Ticket: s.ticket(a), Delay: s.callDelay(),
 	}}})
 }
 
@@ -235,8 +235,8 @@
 
 // sendStopOrder orders a worker to stop a run.
 func (s *State) sendStopOrder(w *worker, id jobspec.TaskID, run int) {
-	s.chargeLink(orderOverhead)
-	s.effects = append(s.effects, Effect{Stop: &Stop{Target: w.target(), Order: placement.Stop{Task: id, Run: run, Token: s.Term, Delay: s.linkDelay()}}})
+	s.charge(orderOverhead)
+	s.effects = append(s.effects, Effect{Stop: &Stop{Target: w.target(), Order: placement.Stop{Task: id, Run: run, Token: s.Term, Delay: s.callDelay()}}})
 }
 
 // stopUnit orders all attempts of a unit to stop.
--- /dev/null
+++ b/internal/scheduling/coordinator/pacing.go
@@ -0,0 +1,120 @@
+package coordinator
+
+import (
+	"cmp"
+	"slices"
+)
+
+// pacing limits the calls that the coordinator makes to what its host's link and
+// processor can carry. Stops and records are always sent at once, since freed capacity
+// depends on them. Start orders, which carry the payload of their job, and polls wait for
+// their turn. Without a limit, answers would miss their timeouts, and the repeated orders
+// would add to the load that delayed them.
+type pacing struct {
+	// calls accounts for all calls, and polls for polls alone.
+	calls, polls meter
+	// queuedUnits holds the units that may start and wait for their turn.
+	queuedUnits []*unit
+	// queuedPolls holds the workers whose poll waits for its turn, in the order in which
+	// the polls were due.
+	queuedPolls []*worker
+}
+
+// meter accounts for work that a resource carries one piece after the other. Times are in
+// milliseconds. The zero value is an idle resource.
+type meter struct {
+	// freeAt is when the resource has carried all that was added.
+	freeAt float64
+}
+
+// add adds work that takes the resource d.
+func (m *meter) add(now int64, d float64) { m.freeAt = max(m.freeAt, float64(now)) + d }
+
+// delay returns how long the resource takes for what was added.
+func (m *meter) delay(now int64) int64 { return int64(max(0, m.freeAt-float64(now))) }
+
+const (
+	// orderOverhead is the size of an order without its payload, in bytes: the body's
+	// fields, the headers, and the packets that open the connection and acknowledge the
+	// answer.
+	orderOverhead = 450
+	// recordOverhead is the same for an append to the store.
+	recordOverhead = 500
+	// linkShare and processorShare are the shares of the link's rate and of the call rate
+	// that the coordinator's calls may take. The rest is for callers, for reads of the
+	// store and for scheduling passes.
+	linkShare      = 0.8
+	processorShare = 0.75
+	// pollLinkShare and pollProcessorShare are the parts of that which polls may take.
+	pollLinkShare      = 0.3
+	pollProcessorShare = 0.5
+	// startBurst and pollBurst are how long the calls that were made may take before
+	// further ones wait, in milliseconds. Both are short against the timeout of an order.
+	startBurst = 150
+	pollBurst  = 50
+)
+
+// charge accounts for a call of n bytes.
+func (s *State) charge(n int) { s.calls.add(s.now, s.callTime(n, linkShare, processorShare)) }
+
+// callTime returns how long a call of n bytes takes the given shares of the link and of the
+// processor, in milliseconds.
+func (s *State) callTime(n int, link, processor float64) float64 {
+	d := 0.0
+	if s.LinkRate > 0 {
+		d = float64(n) * 1000 / (s.LinkRate * link)
+	}
+	if s.CallRate > 0 {
+		d = max(d, 1000/(s.CallRate*processor))
+	}
+	return d
+}
+
+// callDelay returns the estimated time until all calls made so far have been sent, in
+// milliseconds.
+func (s *State) callDelay() int64 { return s.calls.delay(s.now) }
+
+// queueUnit sends the start orders of a unit as soon as it is its turn.
+func (s *State) queueUnit(u *unit) {
+	if u.queued {
+		return
+	}
+	u.queued = true
+	s.queuedUnits = append(s.queuedUnits, u)
+	s.sendQueued()
+}
+
+// queuePoll sends a poll to a worker as soon as it is its turn.
+func (s *State) queuePoll(w *worker) {
+	if w.pollQueued || w.pollPending {
+		return
+	}
+	w.pollQueued, w.pollDue, w.nextPollAt = true, false, 0
+	s.queuedPolls = append(s.queuedPolls, w)
+	s.sendQueued()
+}
+
+// sendQueued sends queued polls and then the start orders of queued units, as far as the
+// host can carry them. Units of the lowest rank come first, then those of the oldest job.
+// The orders of a gang are sent together, because its members wait for each other on their
+// workers.
+func (s *State) sendQueued() {
+	for len(s.queuedPolls) > 0 && s.polls.delay(s.now) < pollBurst {
+		w := s.queuedPolls[0]
+		s.queuedPolls = s.queuedPolls[1:]
+		w.pollQueued = false
+		s.poll(w)
+	}
+	if len(s.queuedUnits) == 0 || s.callDelay() >= startBurst {
+		return
+	}
+	slices.SortStableFunc(s.queuedUnits, func(a, b *unit) int {
+		return cmp.Or(cmp.Compare(s.rank(a.job), s.rank(b.job)), cmp.Compare(a.job.acceptedAt, b.job.acceptedAt))
+	})
+	for len(s.queuedUnits) > 0 && s.callDelay() < startBurst {
+		u := s.queuedUnits[0]
+		s.queuedUnits = s.queuedUnits[1:]
+		u.queued = false
+		s.sendUnit(u)
+	}
+}
--- a/internal/scheduling/coordinator/recorder.go
+++ b/internal/scheduling/coordinator/recorder.go
@@ -84,7 +84,7 @@
 		s.renewedAt = s.now
 	}
 	s.batch = r.Batch
-	s.chargeLink(r.size())
+	s.charge(r.size())
 	s.effects = append(s.effects, Effect{Record: &r})
 }
 
@@ -162,7 +162,7 @@
 	for _, w := range s.workers {
 		w.advanceAcked(s.written)
 		if w.pollDue {
-			s.poll(w)
+			s.queuePoll(w)
 		}
 	}
 }
--- a/internal/scheduling/coordinator/state.go
+++ b/internal/scheduling/coordinator/state.go
@@ -52,9 +52,10 @@
 	RestoreTime int64
 	// Retention is how long ended jobs are retained. Default 120000.
 	Retention int64
-	// LinkRate is the rate of the host's network link, in bytes a second; 0 if it is not
-	// known, and start orders are then not held back.
-	LinkRate float64
+	// LinkRate is the rate of the host's network link, in bytes a second, and CallRate the
+	// number of calls a second that would take all of its processor time. Polls and start
+	// orders are held back accordingly; 0 means no limit.
+	LinkRate, CallRate float64
 	// Host and Incarnation identify this process in its claim records.
 	Host, Incarnation string
 }
@@ -111,7 +112,7 @@
 
 	recorder
 	advisor
-	link
+	pacing
 
 	// planDue is set when the waiting tasks should be considered again; plannedAt is
 	// the time of the last scheduling pass.
@@ -381,7 +382,7 @@
 			continue
 		}
 		listed++
-		if s.silentFor(w) > s.PollWait+orderRetryInterval+s.linkDelay() {
+		if s.silentFor(w) > s.PollWait+orderRetryInterval+s.callDelay() {
 			silent++
 		}
 	}
--- a/internal/scheduling/coordinator/worker.go
+++ b/internal/scheduling/coordinator/worker.go
@@ -44,11 +44,12 @@
 	// a list that was requested after the removal.
 	removed map[jobspec.TaskID]removedRun
 
-	// pollPending is set while a poll is in flight. pollDue is set while the next one
+	// pollPending is set while a poll is in flight, and pollQueued while one waits for its
+	// turn. pollDue is set while the next one
 	// waits for a batch to be written, so that it can acknowledge ends. nextPollAt is
 	// when the next poll is sent at the latest; 0 if none is scheduled.
-	pollPending, pollDue bool
-	nextPollAt           int64
+	pollPending, pollQueued, pollDue bool
+	nextPollAt                       int64
 	// lastEnd is the number of the last end processed and ackedEnd that of the last one
 	// that may be acknowledged. pendingAcks holds the ends in between.
 	lastEnd, ackedEnd int64
@@ -120,7 +121,7 @@
 		s.drainWorker(w)
 	}
 	s.planDue = true
-	s.poll(w)
+	s.queuePoll(w)
 }
 
 // resetLifetime starts a new lifetime of w and resets the state of the last one.
@@ -187,17 +188,9 @@
 		w.pollDue, w.nextPollAt = true, s.now+s.PollWait
 		return
 	}
-	if pause := s.pollInterval() - s.IdlePollWait; pause > 0 {
-		w.nextPollAt = s.now + min(pause, maxPollPause)
-		return
-	}
-	s.poll(w)
+	s.queuePoll(w)
 }
 
-// maxPollPause bounds the time from an answer to the next poll, in milliseconds. With
-// IdlePollWait it is well below the lease.
-const maxPollPause = 1500
-
 // pollFailed handles a poll that was not executed.
 func (s *State) pollFailed(w *worker, r placement.Reply) {
 	switch r.Verdict {
@@ -356,7 +349,6 @@
 				order.Wait = s.PollWait / 2
 			}
 		}
-		order.Wait = min(max(order.Wait, s.pollInterval()), s.IdlePollWait)
 		if w.silentSince != 0 {
 			order.Wait = 0
 		}
@@ -367,8 +359,9 @@
 		order.Lease = w.estimatedClock(s.now) + s.Lease
 		w.extendLease(order.Lease)
 	}
-	s.chargeLink(orderOverhead)
-	order.Delay = s.linkDelay()
+	s.charge(orderOverhead)
+	s.polls.add(s.now, s.callTime(orderOverhead, linkShare*pollLinkShare, processorShare*pollProcessorShare))
+	order.Delay = s.callDelay()
 	s.effects = append(s.effects, Effect{Poll: &Poll{Target: w.target(), Order: order}})
 }
 
@@ -396,7 +389,7 @@
 // checkWorker performs the work for one worker that depends on the time alone.
 func (s *State) checkWorker(w *worker) {
 	if w.nextPollAt != 0 && s.now >= w.nextPollAt {
-		s.poll(w)
+		s.queuePoll(w)
 	}
 	if len(w.attempts) > 0 && s.leaseExpired(w) {
 		s.loseWorker(w, "its lease has expired without an answer", !w.listed)
@@ -478,7 +471,7 @@
 func (s *State) checkAttempt(a *attempt) {
 	switch a.phase {
 	case phaseStopping:
-		if a.stoppedAt == 0 && s.now-a.stopSentAt > orderRetryInterval+s.linkDelay() && s.MayIssueOrders() {
+		if a.stoppedAt == 0 && s.now-a.stopSentAt > orderRetryInterval+s.callDelay() && s.MayIssueOrders() {
 			s.sendStop(a)
 		}
 	case phasePlanned:
