Reserve workers for a gang only where it can start in time, and let short work in

Cause: a reservation kept workers empty for a gang that needs many of them, whether or not it could still start in time, and nothing else was let onto them. Change: the workers that are expected to be free first are reserved, nothing is when the estimated start misses the deadline, and work that ends before the gang's start may use them. What is let in does not move the start.

--- a/internal/scheduling/coordinator/load_test.go
+++ b/internal/scheduling/coordinator/load_test.go
@@ -135,3 +135,35 @@
 		}
 	}
 }
+
+// Scenario: gangs that each need most of the workers, on workers busy with long runs. No
+// worker may stay empty for a gang that cannot start in time anyway, and short work must use
+// the workers on which a gang that can has to wait for the long runs.
+func TestReservationLetsShortWorkRun(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		slack    int64
+		gangEnds bool
+	}{{"a gang that starts in time", 40_000, true}, {"a gang that is late anyway", 1200, false}} {
+		p := simulation.Scenario{Workers: 24, Configuration: configuration(0)}
+		for i := range 15 {
+			p.Jobs = append(p.Jobs, simulation.Arrival{At: 1000, Spec: batch(fmt.Sprintf("long%02d", i), 8, 18_000)})
+		}
+		big := gang("big", 22, 8, 4000, 1)
+		big.Steps[0].SameRack, big.Slack = false, c.slack
+		p.Jobs = append(p.Jobs, simulation.Arrival{At: 2000, Spec: big})
+		for i := range 24 {
+			p.Jobs = append(p.Jobs, simulation.Arrival{At: int64(4000 + 400*i), Spec: batch(fmt.Sprintf("s%02d", i), 4, 1500)})
+		}
+		w := runScenario(t, p, 120_000)
+		requireEnded(t, w, jobspec.Completed)
+		for _, r := range w.Results() {
+			switch {
+			case strings.HasPrefix(r.ID, "s"):
+				assert.Less(t, r.Waited, int64(1600), "%s: %+v", c.name, r)
+			case r.ID == "big" && c.gangEnds:
+				assert.Less(t, r.Waited, int64(20_000), "%s: %+v", c.name, r)
+			}
+		}
+	}
+}
--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -40,9 +40,11 @@
 	// racks holds the indices of the candidates by rack.
 	racks map[string][]int
 	// reserved holds the indices of the candidates reserved for the waiting gang
-	// reservedFor. Only that gang and urgent requests may use them.
-	reserved    map[int]bool
-	reservedFor jobspec.TaskID
+	// reservedFor until reservedUntil, when it is expected to start. Only that gang, urgent
+	// requests and work that is expected to end before may use them.
+	reserved      map[int]bool
+	reservedFor   jobspec.TaskID
+	reservedUntil int64
 	// indices holds the index of each worker by its ID.
 	indices map[string]int
 	// marked holds the indices of the candidates whose marks were set for the last request.
@@ -50,6 +52,8 @@
 	marked        []int
 	ownExclusions bool
 	refusals      []refusal
+	// now is the time of the pass.
+	now int64
 	// victimSets holds the possible victims at the start of the pass, by their lowest rank.
 	victimSets map[int]*victimSet
 }
@@ -241,7 +245,7 @@
 // reservation in force.
 func (s *State) newPool(service string) *candidatePool {
 	pool := &candidatePool{
-		workers: make([]*worker, 0, len(s.workers)), candidates: make([]placement.Candidate, 0, len(s.workers)),
+		now: s.now, workers: make([]*worker, 0, len(s.workers)), candidates: make([]placement.Candidate, 0, len(s.workers)),
 		indices: make(map[string]int, len(s.workers)),
 	}
 	for _, w := range s.sortedWorkers() {
@@ -256,7 +260,7 @@
 	}
 	pool.racks = placement.ByRack(pool.candidates)
 	if res := s.activeReservation(service); res != nil {
-		pool.reservedFor, pool.reserved = res.gang, make(map[int]bool)
+		pool.reservedFor, pool.reserved, pool.reservedUntil = res.gang, make(map[int]bool), res.until
 		for i, w := range pool.workers {
 			if res.workers[w.ID] {
 				pool.reserved[i] = true
@@ -321,7 +325,8 @@
 
 // excludesReserved reports whether r may not use the reserved workers.
 func (pool *candidatePool) excludesReserved(r *request) bool {
-	return len(pool.reserved) > 0 && r.rank >= rankNonUrgent && pool.reservedFor != stepID(r.job, r.occurrence, r.step)
+	return len(pool.reserved) > 0 && r.rank >= rankNonUrgent && pool.reservedFor != stepID(r.job, r.occurrence, r.step) &&
+		pool.now+r.spec.Steps[r.step].Estimate > pool.reservedUntil
 }
 
 // avoidDuration is how long a step is not placed again on a worker where one of its
--- a/internal/scheduling/coordinator/reservation.go
+++ b/internal/scheduling/coordinator/reservation.go
@@ -9,10 +9,11 @@
 )
 
 // reserveForGang reserves candidates for a gang that does not fit into the free
-// capacity, so that smaller requests do not use the capacity up as it becomes free.
-// A gang that needs one rack reserves a whole rack that could hold it, the one with the
-// most free capacity. Each service has at most one reservation at a time. Nothing is
-// reserved before reservationDelay, or if the gang can no longer meet its deadline.
+// capacity, so that smaller requests do not use the capacity up as it becomes free. The
+// candidates are those that are expected to be free first; a gang that needs one rack
+// reserves a whole rack that could hold it. Each service has at most one reservation at a
+// time. Nothing is reserved before reservationDelay, or if the gang is not expected to meet
+// its deadline.
 func (s *State) reserveForGang(r *request, pool *candidatePool, demand *placement.Request, inRack bool) {
 	if !s.mayReserve(r, pool) {
 		return
@@ -21,25 +22,80 @@
 		// The gang would not fit even on empty workers.
 		return
 	}
-	pool.reserved = make(map[int]bool)
-	defer s.saveReservation(r, pool)
-	if !inRack {
-		pool.reserve(demand)
+	reserved, startAt := s.earliestCandidates(pool, demand, allCandidates(pool))
+	if inRack {
+		reserved, startAt = s.earliestRack(pool, demand)
+	}
+	if startAt+r.spec.Steps[r.step].Estimate > r.deadline {
+		s.dropReservation(r, pool)
 		return
 	}
-	bestRack, mostFree := "", -1
-	for rack, indices := range pool.racks {
-		free, capacity := 0, 0
-		for _, i := range indices {
-			free += demand.Fit(&pool.candidates[i])
+	if pool.reserved != nil {
+		// Work that was let in must not delay the gang further.
+		startAt = min(startAt, pool.reservedUntil)
+	}
+	pool.reserved, pool.reservedUntil = make(map[int]bool), startAt
+	for _, i := range reserved {
+		pool.reserved[i] = true
+	}
+	s.saveReservation(r, pool)
+}
+
+// earliestRack returns the candidates of the rack that could hold all tasks of a gang
+// first, and when.
+func (s *State) earliestRack(pool *candidatePool, demand *placement.Request) (reserved []int, startAt int64) {
+	for _, rack := range sortedKeys(pool.racks) {
+		capacity := 0
+		for _, i := range pool.racks[rack] {
 			capacity += demand.Step.Reserved().Fit(pool.candidates[i].Capacity, demand.Tasks)
 		}
-		if capacity >= demand.Tasks && (free > mostFree || free == mostFree && rack < bestRack) {
-			bestRack, mostFree = rack, free
+		if capacity < demand.Tasks {
+			continue
+		}
+		if _, at := s.earliestCandidates(pool, demand, pool.racks[rack]); reserved == nil || at < startAt {
+			reserved, startAt = pool.racks[rack], at
 		}
 	}
-	for _, i := range pool.racks[bestRack] {
-		pool.reserved[i] = true
+	return reserved, startAt
+}
+
+// earliestCandidates returns those of the candidates at indices that together could hold
+// all tasks of a gang first, and when, by the estimated ends of what runs there.
+func (s *State) earliestCandidates(pool *candidatePool, demand *placement.Request, indices []int) (reserved []int, startAt int64) {
+	type option struct {
+		index, fit int
+		emptyAt    int64
+	}
+	var options []option
+	for _, i := range indices {
+		o := option{index: i, fit: demand.Step.Reserved().Fit(pool.candidates[i].Capacity, demand.Tasks), emptyAt: s.now}
+		if o.fit == 0 {
+			continue
+		}
+		if demand.Fit(&pool.candidates[i]) < o.fit {
+			for _, a := range pool.workers[i].attempts {
+				o.emptyAt = max(o.emptyAt, s.now+s.remainingTime(a))
+			}
+		}
+		options = append(options, o)
+	}
+	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.emptyAt, b.emptyAt) })
+	capacity := 0
+	for _, o := range options {
+		if capacity >= demand.Tasks {
+			break
+		}
+		capacity += o.fit
+		reserved, startAt = append(reserved, o.index), o.emptyAt
+	}
+	return reserved, startAt
+}
+
+// dropReservation drops the reservation of a gang, if it has one.
+func (s *State) dropReservation(r *request, pool *candidatePool) {
+	if pool.reserved != nil && pool.reservedFor == stepID(r.job, r.occurrence, r.step) {
+		pool.reserved = nil
+		delete(s.reservations, r.spec.Service)
 	}
 }
 
@@ -55,6 +111,9 @@
 type reservation struct {
 	gang    jobspec.TaskID
 	workers map[string]bool
+	// until is when the gang is expected to start. Work that ends before may use the
+	// workers.
+	until int64
 }
 
 // saveReservation stores the reserved candidates in the state, where they stay reserved
@@ -63,7 +122,7 @@
 	pool.reservedFor = stepID(r.job, r.occurrence, r.step)
 	// A new reservation may leave out workers of the old one.
 	pool.refusals = slices.DeleteFunc(pool.refusals, func(f refusal) bool { return f.reserved })
-	res := &reservation{gang: pool.reservedFor, workers: make(map[string]bool, len(pool.reserved))}
+	res := &reservation{gang: pool.reservedFor, workers: make(map[string]bool, len(pool.reserved)), until: pool.reservedUntil}
 	for i := range pool.reserved {
 		res.workers[pool.workers[i].ID] = true
 	}
@@ -90,25 +149,6 @@
 	return nil
 }
 
-// reserve reserves as many candidates as a gang needs when they are empty, those with
-// the most free capacity first.
-func (pool *candidatePool) reserve(demand *placement.Request) {
-	indices := allCandidates(pool)
-	slices.SortStableFunc(indices, func(a, b int) int {
-		return cmp.Compare(pool.candidates[b].Free.Weight(), pool.candidates[a].Free.Weight())
-	})
-	capacity := 0
-	for _, i := range indices {
-		if capacity >= demand.Tasks {
-			return
-		}
-		if n := demand.Step.Reserved().Fit(pool.candidates[i].Capacity, demand.Tasks); n > 0 {
-			pool.reserved[i] = true
-			capacity += n
-		}
-	}
-}
-
 // reservationDelay is how long a gang waits before candidates are reserved for it, in
 // milliseconds.
 const reservationDelay = 1500
