Account for link and processor separately

Cause: one meter added the longer of a call's time on the link and on the processor. In a twin polls are bound by the processor and starts by the link, so that 40 starts a second went out where each resource had room left. Change: a meter each; a start waits for the busier one.

--- a/internal/scheduling/coordinator/pacing.go
+++ b/internal/scheduling/coordinator/pacing.go
@@ -11,8 +11,9 @@
 // their turn. Without a limit, answers would miss their timeouts, and the repeated orders
 // would add to the load that delayed them.
 type pacing struct {
-	// calls accounts for all calls, and polls for polls alone.
-	calls, polls meter
+	// link and processor account for all calls, and polls for the part of either that polls
+	// may take.
+	link, processor, polls meter
 	// queuedUnits holds the units that may start and wait for their turn.
 	queuedUnits []*unit
 	// queuedPolls holds the workers whose poll waits for its turn, in the order in which
@@ -55,24 +56,34 @@
 )
 
 // charge accounts for a call of n bytes.
-func (s *State) charge(n int) { s.calls.add(s.now, s.callTime(n, linkShare, processorShare)) }
+func (s *State) charge(n int) {
+	link, processor := s.callTimes(n)
+	s.link.add(s.now, link)
+	s.processor.add(s.now, processor)
+}
+
+// chargePoll accounts for a poll.
+func (s *State) chargePoll() {
+	s.charge(orderOverhead)
+	link, processor := s.callTimes(orderOverhead)
+	s.polls.add(s.now, max(link/pollLinkShare, processor/pollProcessorShare))
+}
 
-// callTime returns how long a call of n bytes takes the given shares of the link and of the
-// processor, in milliseconds.
-func (s *State) callTime(n int, link, processor float64) float64 {
-	d := 0.0
+// callTimes returns how long a call of n bytes takes the coordinator's shares of the link
+// and of the processor, in milliseconds.
+func (s *State) callTimes(n int) (link, processor float64) {
 	if s.LinkRate > 0 {
-		d = float64(n) * 1000 / (s.LinkRate * link)
+		link = float64(n) * 1000 / (s.LinkRate * linkShare)
 	}
 	if s.CallRate > 0 {
-		d = max(d, 1000/(s.CallRate*processor))
+		processor = 1000 / (s.CallRate * processorShare)
 	}
-	return d
+	return link, processor
 }
 
 // callDelay returns the estimated time until all calls made so far have been sent, in
 // milliseconds.
-func (s *State) callDelay() int64 { return s.calls.delay(s.now) }
+func (s *State) callDelay() int64 { return max(s.link.delay(s.now), s.processor.delay(s.now)) }
 
 // queueUnit sends the start orders of a unit as soon as it is its turn.
 func (s *State) queueUnit(u *unit) {
--- a/internal/scheduling/coordinator/worker.go
+++ b/internal/scheduling/coordinator/worker.go
@@ -361,8 +361,7 @@
 		order.Lease = w.estimatedClock(s.now) + s.Lease
 		w.extendLease(order.Lease)
 	}
-	s.charge(orderOverhead)
-	s.polls.add(s.now, s.callTime(orderOverhead, linkShare*pollLinkShare, processorShare*pollProcessorShare))
+	s.chargePoll()
 	order.Delay = s.callDelay()
 	s.effects = append(s.effects, Effect{Poll: &Poll{Target: w.target(), Order: order}})
 }
