Send queued calls only under a valid claim

Cause: found by reading for the report of a process that acts on a permission that has run out. Units that wait for the link were sent by the first event after a pause without a look at the claim, and a poll that came to its turn without one was dropped and never sent again. Change: nothing leaves the queues until an append shows that the role is still held. checkWorker is split in two; the possible victims move to preempt.go. Measured: TestPausedCoordinatorHoldsQueuedCalls, red before (a start after a pause of 20 s, polls lost).

--- a/internal/scheduling/coordinator/pacing.go
+++ b/internal/scheduling/coordinator/pacing.go
@@ -106,10 +106,14 @@
 }
 
 // sendQueued sends queued polls and then the start orders of queued units, as far as the
-// host can carry them. Units of the lowest rank come first, then those of the oldest job.
+// host can carry them. It sends nothing without a valid claim: the calls may have been
+// queued before the process was paused. Units of the lowest rank come first, then those of the oldest job.
 // The orders of a gang are sent together, because its members wait for each other on their
 // workers.
 func (s *State) sendQueued() {
+	if !s.MayIssueOrders() {
+		return
+	}
 	for len(s.queuedPolls) > 0 && s.polls.delay(s.now) < pollBurst {
 		w := s.queuedPolls[0]
 		s.queuedPolls = s.queuedPolls[1:]
--- /dev/null
+++ b/internal/scheduling/coordinator/pacing_test.go
@@ -0,0 +1,66 @@
+package coordinator_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetrelay/limpetrelay/internal/scheduling/coordinator"
+	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobspec"
+	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobstate"
+	"github.com/limpetrelay/limpetrelay/internal/scheduling/placement"
+)
+
+// A coordinator whose process was paused while start orders and polls waited for the link
+// must not send them before an append has shown that it still holds the role. Once one has,
+// they must go out.
+func TestPausedCoordinatorHoldsQueuedCalls(t *testing.T) {
+	s := coordinator.State{Settings: coordinator.Settings{LinkRate: 10_000}, Term: 7}
+	var recorded uint64
+	starts, polls := 0, 0
+	count := func(effects []coordinator.Effect) {
+		for _, f := range effects {
+			switch {
+			case f.Record != nil:
+				recorded = f.Record.Batch
+			case f.Start != nil:
+				starts++
+			case f.Poll != nil:
+				polls++
+			}
+		}
+	}
+	apply := func(e coordinator.Event) { count(s.Apply(&e)) }
+	count(s.Start(1000, 1000, &jobstate.Table{}, jobstate.Details{}, configuration(0), true))
+	capacity := jobspec.Resources{Cores: 64_000, Memory: 262_144, Accelerators: 8}
+	l := placement.Listing{ID: "w", Lifetime: 5, Address: "10.0.0.1:1", Service: service, Labels: []string{"a", "r0"}, Capacity: capacity}
+	executed := placement.PollReply{Reply: placement.Reply{Verdict: placement.Executed, Clock: 100}, Lifetime: 5}
+	apply(coordinator.Event{Now: 1010, Listed: &l})
+	apply(coordinator.Event{Now: 1300, Polled: &coordinator.Polled{Worker: "w", SentAt: 1011, Reply: executed}})
+	apply(coordinator.Event{Now: 1500, Recorded: &coordinator.Recorded{Batch: recorded, SentAt: 1490}})
+	spec := batch("b", 6, 1000)
+	spec.Payload = strings.Repeat("x", 4000)
+	apply(coordinator.Event{Now: 3000, Job: &coordinator.JobChanged{Spec: &spec}})
+	apply(coordinator.Event{Now: 3100, Recorded: &coordinator.Recorded{Batch: recorded, SentAt: 3090}})
+	apply(coordinator.Event{Now: 3200, Recorded: &coordinator.Recorded{Batch: recorded, SentAt: 3190}})
+	for _, id := range []string{"v0", "v1", "v2", "v3"} {
+		other := l
+		other.ID, other.Address = id, "10.0.0.2:"+id[1:]
+		apply(coordinator.Event{Now: 3210, Listed: &other})
+	}
+	require.Positive(t, starts)
+	require.Less(t, starts, 6, "some starts wait for the link")
+	before, polled := starts, polls
+	// The process is paused for 20 s. The first event after it was queued before.
+	apply(coordinator.Event{Now: 23_200, Listed: &l})
+	assert.Equal(t, before, starts, "no start without a valid claim")
+	apply(coordinator.Event{Now: 23_250})
+	assert.Equal(t, before, starts, "no start without a valid claim")
+	assert.Equal(t, polled, polls, "no poll without a valid claim")
+	for now := int64(23_300); now < 28_000; now += 50 {
+		apply(coordinator.Event{Now: now, Recorded: &coordinator.Recorded{Batch: recorded, SentAt: now - 10}})
+	}
+	assert.GreaterOrEqual(t, polls, polled+3, "the queued polls are sent with a valid claim")
+}
--- a/internal/scheduling/coordinator/preempt.go
+++ b/internal/scheduling/coordinator/preempt.go
@@ -85,6 +85,24 @@
 	return ks
 }
 
+// victimSet holds the units that may be preempted in a pass, as returned by victims.
+type victimSet struct {
+	units   []*unit
+	victims []placement.Victim
+	byRack  map[string][]int
+}
+
+// running returns those of the given victims that have not been stopped in this pass.
+func (set *victimSet) running(indices []int) []int {
+	out := make([]int, 0, len(indices))
+	for _, i := range indices {
+		if !set.units[i].aborted {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 // victims returns the units of minRank or higher that may be preempted, the cost and the
 // freed resources of each, and the indices of the units that run on each rack.
 func (s *State) victims(pool *candidatePool, minRank int) *victimSet {
--- a/internal/scheduling/coordinator/refusal.go
+++ b/internal/scheduling/coordinator/refusal.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobspec"
-	"github.com/limpetrelay/limpetrelay/internal/scheduling/placement"
 )
 
 // refusal records that a placement was impossible earlier in a scheduling pass. Free
@@ -68,21 +67,3 @@
 	}
 	pool.refusals = append(pool.refusals, pool.refusal(r, method, tasks))
 }
-
-// running returns those of the given victims that have not been stopped in this pass.
-func (set *victimSet) running(indices []int) []int {
-	out := make([]int, 0, len(indices))
-	for _, i := range indices {
-		if !set.units[i].aborted {
-			out = append(out, i)
-		}
-	}
-	return out
-}
-
-// victimSet holds the units that may be preempted in a pass, as returned by victims.
-type victimSet struct {
-	units   []*unit
-	victims []placement.Victim
-	byRack  map[string][]int
-}
--- a/internal/scheduling/coordinator/worker.go
+++ b/internal/scheduling/coordinator/worker.go
@@ -403,6 +403,11 @@
 		s.byID = nil
 		return
 	}
+	s.checkAttempts(w)
+}
+
+// checkAttempts performs the work for a worker's attempts that depends on the time alone.
+func (s *State) checkAttempts(w *worker) {
 	var due []*attempt
 	for _, a := range w.attempts {
 		if s.checkDue(a) {
