--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -42,14 +42,19 @@
 // processes of their own.
 type deployment struct {
 	*fleet
-	store   *emulator.Store
-	hosts   []*host
-	servers []*http.Server
-	fronts  []*httptest.Server
+	store *emulator.Store
+	hosts []*host
+	// servers are the store's, one for each host, and the advisory service's.
+	servers []*httptest.Server
 	dir     string
 	stopped chan struct{}
 	wg      sync.WaitGroup
 
+	// adviceMu lets the advisory service handle one call at a time. permitted has the workers
+	// that it allows.
+	adviceMu  sync.Mutex
+	permitted map[string]bool
+
 	// leader is the host that was the last to write as the coordinator.
 	leaderMu sync.Mutex
 	leader   *host
@@ -61,11 +66,12 @@
 	cmd                  *exec.Cmd
 }
 
-// queues has the queues by name: their priority and whether they exist.
+// queues has the queues.
 var queues = []struct {
 	name     string
 	priority int
-}{{"urgent", 0}, {"plan", 1}, {"batch", 2}}
+	advised  bool
+}{{name: "urgent", priority: 0}, {name: "plan", priority: 1}, {name: "batch", priority: 2}, {name: "advised", priority: 2, advised: true}}
 
 // The tenants with their keys. Both together are guaranteed half of eight workers.
 var tenants = []map[string]any{
@@ -75,7 +81,7 @@
 
 func newDeployment(s shape, program string, rec *record) (*deployment, error) {
 	d := &deployment{
-		fleet: &fleet{rec: rec, jobs: make(map[string]*jobInfo), ended: make(chan struct{})},
+		fleet: &fleet{rec: rec, jobs: make(map[string]*jobInfo), tickets: make(map[string]time.Time), ended: make(chan struct{})},
 		store: &emulator.Store{}, stopped: make(chan struct{}),
 	}
 	var err error
@@ -90,6 +96,8 @@
 			return d, err
 		}
 	}
+	advice := httptest.NewServer(http.HandlerFunc(d.advise))
+	d.servers = append(d.servers, advice)
 	d.every(tickTime, d.tick)
 	d.every(heartbeat, d.publishEntries)
 	if program, err = filepath.Abs(program); err != nil {
@@ -98,7 +106,7 @@
 	// All of 127.0.0.0/8 is loopback. Each host has an address of its own.
 	network := fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), rand.IntN(250))
 	for i := range s.hosts {
-		if err := d.addHost(i, program, fmt.Sprint(network, i+1)); err != nil {
+		if err := d.addHost(i, program, fmt.Sprint(network, i+1), advice.Listener.Addr().String()); err != nil {
 			return d, err
 		}
 	}
@@ -124,14 +132,13 @@
 
 func (d *deployment) addWorker(i int, s shape) error {
 	w := &worker{fleet: d.fleet, id: fmt.Sprintf("i-%04d", i), rack: fmt.Sprintf("r1-%d", i/s.rackSize), latency: s.latency}
-	server, err := w.serve()
-	if err != nil {
+	if err := w.serve(); err != nil {
 		return err
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w.boot()
-	d.workers, d.servers = append(d.workers, w), append(d.servers, server)
+	d.workers = append(d.workers, w)
 	return nil
 }
 
@@ -147,10 +154,14 @@
 func (d *deployment) publishConfiguration() error {
 	var routes []map[string]any
 	for _, q := range queues {
-		routes = append(routes, map[string]any{
+		r := map[string]any{
 			"name": q.name, "host": hostName, "path_prefix": "/" + q.name + "/", "kind": "non_idempotent", "service": serviceName,
 			"priority": q.priority, "max_attempts": 4, "stretch_factor": 3.0, "slo_ms": 1200, "timeout_ms": 3000, "public": false,
-		})
+		}
+		if q.advised {
+			r["advice"] = map[string]any{"decision_ms": decisionTime.Milliseconds(), "each_ms": eachTime.Milliseconds(), "validity_ms": ticketValidity.Milliseconds()}
+		}
+		routes = append(routes, r)
 	}
 	b, err := json.Marshal(map[string]any{
 		"version": 7, "routes": routes, "tenants": tenants,
@@ -211,7 +222,7 @@
 
 // addHost starts an entry host with the command of the deploy file. It reaches the store
 // at an address of its own, which tells whose calls arrive there.
-func (d *deployment) addHost(i int, program, ip string) error {
+func (d *deployment) addHost(i int, program, ip, advice string) error {
 	h := &host{name: fmt.Sprint("front-", i+1)}
 	var err error
 	if h.callers, err = freeAddress(ip); err != nil {
@@ -221,9 +232,9 @@
 		return err
 	}
 	server := httptest.NewServer(d.storeHandler(h))
-	d.fronts = append(d.fronts, server)
-	text := settingsText + fmt.Sprintf("node=%s\nip=%s\nlisten_addrs.front=%s\nlisten_addrs.ready=%s\nplatform.address=%s\n",
-		h.name, ip, h.callers, h.ready, server.Listener.Addr())
+	d.servers = append(d.servers, server)
+	text := settingsText + fmt.Sprintf("node=%s\nip=%s\nlisten_addrs.front=%s\nlisten_addrs.ready=%s\nplatform.address=%s\nadvice=%s\n",
+		h.name, ip, h.callers, h.ready, server.Listener.Addr(), advice)
 	path := filepath.Join(d.dir, h.name+".conf")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
@@ -434,10 +445,10 @@
 	}
 	close(d.stopped)
 	d.wg.Wait()
-	for _, s := range d.servers {
-		errs = append(errs, s.Close())
+	for _, w := range d.workers {
+		errs = append(errs, w.server.Close())
 	}
-	for _, s := range d.fronts {
+	for _, s := range d.servers {
 		s.CloseClientConnections()
 		_ = s.Config.Close()
 	}
--- a/review/harness/pending.go
+++ b/review/harness/pending.go
@@ -28,7 +28,7 @@
 	if err := await(10*time.Second, "the first job runs", func() bool { return d.live(full) == busy }); err != nil {
 		return false, err
 	}
-	time.Sleep(calmTime)
+	time.Sleep(5 * time.Second)
 	if trouble {
 		d.cutIdle(true)
 		time.AfterFunc(cutTime, func() { d.cutIdle(false) })
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -13,14 +13,14 @@
 
 // The figures of the workers, from the settings of the site bayou-skim.
 const (
-	maxHoldMs   = 10_000
-	gangWaitMs  = 3000
-	stopTime    = 200 * time.Millisecond
-	maxWait     = 2 * time.Second
-	startupTime = 200 * time.Millisecond
-	tickTime    = 10 * time.Millisecond
-	heartbeat   = 1500 * time.Millisecond
-	gpuPerHost  = 8
+	maxHoldMs  = 10_000
+	gangWaitMs = 3000
+	stopTime   = 200 * time.Millisecond
+	maxWait    = 2 * time.Second
+	tickTime   = 10 * time.Millisecond
+	heartbeat  = 1500 * time.Millisecond
+	drainTime  = 2500 * time.Millisecond
+	gpuPerHost = 8
 )
 
 // fleet is all workers and what they run. One lock guards everything.
@@ -33,6 +33,8 @@
 	history []*run
 	// ended is closed, and replaced, when a run ends.
 	ended chan struct{}
+	// tickets holds the time until which each ticket is valid.
+	tickets map[string]time.Time
 	// onStart, if set, is called when a start order arrives, before it is executed.
 	onStart func(task string)
 }
@@ -46,7 +48,9 @@
 type stepInfo struct {
 	count, gpu int
 	gang       bool
-	duration   time.Duration
+	// advised is set if a start needs a ticket.
+	advised  bool
+	duration time.Duration
 }
 
 // worker is one worker. It follows the page "Running subtasks".
@@ -64,10 +68,11 @@
 	highest map[string]int64
 	ends    []*run
 	endNo   int64
-	// cut is set while nothing reaches the worker, and failing while it fails all that it
-	// starts.
-	cut, failing bool
-	sequence     int
+	// cut is set while nothing reaches the worker, draining once it is about to leave, and
+	// gone once it has left.
+	cut, draining, gone bool
+	sequence            int
+	server              *http.Server
 }
 
 // run is one run of a subtask.
@@ -176,10 +181,7 @@
 	}
 	for _, m := range rs {
 		m.workingAt = now
-		switch {
-		case m.w.failing:
-			m.endsAt, m.endsHow = now.Add(startupTime), "failed"
-		case m.step.duration > 0:
+		if m.step.duration > 0 {
 			m.endsAt, m.endsHow = now.Add(m.step.duration), "done"
 		}
 	}
@@ -263,6 +265,8 @@
 		return w.reject("old")
 	case o.number("deadline_ms") <= w.clock():
 		return w.reject("late")
+	case step.advised && (time.Now().After(w.tickets[o.text("ticket")]) || !strings.HasPrefix(o.text("ticket"), w.id)):
+		return w.reject("ticket")
 	case w.usedGPU()+step.gpu > gpuPerHost:
 		return w.reject("room")
 	}
@@ -421,19 +425,23 @@
 	_, _ = rw.Write(b)
 }
 
-// entry returns the worker's directory entry, or nil while the worker is cut off.
+// entry returns the worker's directory entry, or nil while it writes none.
 func (w *worker) entry() []byte {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.cut {
+	if w.cut || w.gone {
 		return nil
 	}
 	w.sequence++
-	b, err := json.Marshal(map[string]any{
+	e := map[string]any{
 		"service": serviceName, "address": w.address, "zone": "zone-a", "version": "v1", "capacity": 8, "state": "ready",
 		"cold_left_ms": 0, "sequence": w.sequence, "labels": []string{"a", w.rack}, "born": w.bornMs,
 		"free_capacity": map[string]int{"cpu": 64_000, "mem_mb": 262_144, "gpu": gpuPerHost},
-	})
+	}
+	if w.draining {
+		e["state"], e["remaining_ms"] = "draining", drainTime.Milliseconds()
+	}
+	b, err := json.Marshal(e)
 	if err != nil {
 		return nil
 	}
@@ -441,13 +449,13 @@
 }
 
 // serve serves the worker on a free port of a loopback address.
-func (w *worker) serve() (*http.Server, error) {
+func (w *worker) serve() error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		return err
 	}
 	w.address = l.Addr().String()
-	s := &http.Server{Handler: w, ReadHeaderTimeout: time.Minute}
-	go func() { _ = s.Serve(l) }()
-	return s, nil
+	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Minute}
+	go func() { _ = w.server.Serve(l) }()
+	return nil
 }
