--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -29,6 +29,8 @@
 	readyTimeout = 20 * time.Second
 	settleTime   = 5 * time.Second
 	callTimeout  = 3 * time.Second
+	// storeDelay is how long the store takes for an answer, according to SYSTEM.md.
+	storeDelay = 4 * time.Millisecond
 )
 
 // shape is the size of a deployment. latency is the delay of a message between a host and
@@ -88,6 +90,7 @@
 	if d.dir, err = os.MkdirTemp("", "review"); err != nil {
 		return d, err
 	}
+	d.store.SetDelay(storeDelay)
 	if err := d.publishConfiguration(); err != nil {
 		return d, err
 	}
