--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -51,6 +51,8 @@
 	dir     string
 	stopped chan struct{}
 	wg      sync.WaitGroup
+	// addSpare starts another host.
+	addSpare func() error
 
 	// adviceMu lets the advisory service handle one call at a time. permitted has the workers
 	// that it allows.
@@ -108,8 +110,12 @@
 	}
 	// All of 127.0.0.0/8 is loopback. Each host has an address of its own.
 	network := fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), rand.IntN(250))
-	for i := range s.hosts {
-		if err := d.addHost(i, program, fmt.Sprint(network, i+1), advice.Listener.Addr().String()); err != nil {
+	d.addSpare = func() error {
+		n := len(d.hosts)
+		return d.addHost(n, program, fmt.Sprint(network, n+1), advice.Listener.Addr().String())
+	}
+	for range s.hosts {
+		if err := d.addSpare(); err != nil {
 			return d, err
 		}
 	}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -31,11 +31,11 @@
 	shape shape
 	play  playFunc
 }{
+	"removed": {shape{hosts: 8, workers: 16, rackSize: 8}, playRemoved},
 	"twice":   {shape{hosts: 10, workers: 12, rackSize: 4, latency: 20 * time.Millisecond}, playTwice},
 	"reclaim": {shape{hosts: 3, workers: 8, rackSize: 8}, playReclaim},
 	"gang":    {shape{hosts: 3, workers: 24, rackSize: 8}, playGang},
 	"advice":  {shape{hosts: 3, workers: 120, rackSize: 8}, playAdvice},
-	"pending": {shape{hosts: 3, workers: 12, rackSize: 4}, playPending},
 }
 
 func main() {
