Forget ended jobs by the steady clock, not by the time of day

A coordinator whose clock is behind never forgets a job.

Cause: forgetEndedJobs compared this host's time of day with EndedAt, which another host's time of day had given.

Each host's table notes, on the host's steady clock, when it first applied the end of a job, also across another read of all records; the coordinator counts from there, or from the end itself. Such an age is never longer than the true one, and no longer depends on two clocks.

--- a/internal/host/frontend/follow.go
+++ b/internal/host/frontend/follow.go
@@ -264,6 +264,7 @@
 // held.
 func (h *Host) applyRecord(e keyedstore.Entry) coordinator.Event {
 	var ev coordinator.Event
+	h.table.Now = h.now()
 	c, err := h.table.Apply(e.Offset, e.Record)
 	if e.Offset >= h.table.NextOffset {
 		h.table.NextOffset = e.Offset + 1
--- a/internal/host/frontend/follow_test.go
+++ b/internal/host/frontend/follow_test.go
@@ -47,3 +47,18 @@
 	}
 	assert.True(t, h.loaded)
 }
+
+// The coordinator forgets jobs by when this host first read their ends. The time of day may jump,
+// and a table that is not told the time makes it forget all of them as soon as it takes over.
+func TestEndsAreSeenOnTheSteadyClock(t *testing.T) {
+	r, err := jobstate.ProgressRecord("0123456789abcdef", &jobspec.Progress{State: jobspec.Completed})
+	require.NoError(t, err)
+	now := int64(70_000)
+	h := &Host{Logger: slog.New(slog.DiscardHandler)}
+	h.Monotonic = func() int64 { return now }
+	e := keyedstore.Entry{Offset: 3, Record: r}
+	h.applyJob(e)
+	now = 90_000
+	h.replaceJobs([]keyedstore.Entry{e})
+	assert.Equal(t, int64(70_000), h.table.Jobs["0123456789abcdef"].EndSeenAt)
+}
--- a/internal/scheduling/coordinator/jobs.go
+++ b/internal/scheduling/coordinator/jobs.go
@@ -75,17 +75,20 @@
 	}
 }
 
+// retain keeps an ended job for the retention time. seenAt is when its end was decided or read.
+func (s *State) retain(j *job, seenAt int64) { j.forgetAt = seenAt + s.Retention + retentionSlack }
+
 // forgetEndedJobs drops the jobs whose retention time has passed.
 func (s *State) forgetEndedJobs() {
 	for id, j := range s.jobs {
-		if j.progress.State.Ended() && len(j.attempts) == 0 && s.wall > j.progress.EndedAt+s.Retention+retentionSlack {
+		if j.progress.State.Ended() && len(j.attempts) == 0 && s.now > j.forgetAt {
 			delete(s.jobs, id)
 			s.recordsToDrop = append(s.recordsToDrop, id)
 		}
 	}
 }
 
-// retentionSlack allows for clock differences between hosts, in milliseconds.
+// retentionSlack allows for hosts that read the end later than this one, in milliseconds.
 const retentionSlack = 10_000
 
 // checkProgress stops an attempt that has stalled, together with its gang, and
--- a/internal/scheduling/coordinator/presumed_test.go
+++ b/internal/scheduling/coordinator/presumed_test.go
@@ -18,11 +18,13 @@
 // The store confirms all batches at once.
 type exchange struct {
 	*testing.T
-	state  coordinator.State
-	now    int64
-	starts []*coordinator.Start
-	stops  []*coordinator.Stop
-	polls  []*coordinator.Poll
+	state coordinator.State
+	now   int64
+	// wallSkip is the time of day minus now.
+	wallSkip int64
+	starts   []*coordinator.Start
+	stops    []*coordinator.Stop
+	polls    []*coordinator.Poll
 	// queries holds the queries to the advisory service.
 	queries []*coordinator.QueryAdvice
 	// ended holds the ends that the next answer to a poll reports.
@@ -34,6 +36,8 @@
 	held        uint64
 	// claim is the last record of the newest batch that has any, which is its claim.
 	claim jobstate.Record
+	// table holds what was recorded for callers.
+	table jobstate.Table
 }
 
 func newExchange(t *testing.T) *exchange {
@@ -68,6 +72,11 @@
 	for _, r := range b.Details {
 		require.NoError(x, x.details.Apply(r))
 	}
+	for _, r := range b.Records {
+		x.table.NextOffset++
+		_, err := x.table.Apply(x.table.NextOffset, r)
+		require.NoError(x, err)
+	}
 	if n := len(b.Records); n > 0 {
 		x.claim = b.Records[n-1]
 	}
@@ -84,7 +93,7 @@
 }
 
 func (x *exchange) apply(e coordinator.Event) {
-	e.Now, e.Wall = x.now, x.now
+	e.Now, e.Wall = x.now, x.now+x.wallSkip
 	x.collect(x.state.Apply(&e))
 }
 
--- a/internal/scheduling/coordinator/state.go
+++ b/internal/scheduling/coordinator/state.go
@@ -178,6 +178,8 @@
 	avoidedWorkers map[int]map[string]int64
 	// guaranteed is set while the organisation's guarantee covers the job.
 	guaranteed bool
+	// forgetAt is when the job is forgotten, on the clock of Event.Now; 0 before its end.
+	forgetAt int64
 	// dirty is set while the job has changes that are not in a batch yet.
 	dirty bool
 	// recordedView is the state that was last recorded for callers.
@@ -189,7 +191,8 @@
 	placementAttempts map[jobspec.TaskID]placementAttempt
 }
 
-// Start loads the jobs of the job table. It must be called once, before Apply. details
+// Start loads the jobs of the job table, whose clock is that of now. It must be called once,
+// before Apply. details
 // must have been read after their partition was fenced. predecessorsGone reports that
 // earlier coordinators certainly send no more orders.
 func (s *State) Start(now, wall int64, table *jobstate.Table, details jobstate.Details, config *queueconfig.Configuration, predecessorsGone bool) []Effect {
@@ -241,6 +244,7 @@
 	}
 	s.applyRoute(j)
 	if j.progress.State.Ended() {
+		s.retain(j, entry.EndSeenAt)
 		if detail != nil {
 			s.detailsToDrop = append(s.detailsToDrop, id)
 		}
--- a/internal/scheduling/jobspec/progress.go
+++ b/internal/scheduling/jobspec/progress.go
@@ -68,7 +68,7 @@
 	// The worker may still report their ends once it answers again.
 	Abandoned []Run `cbor:"6,keyasint,omitempty"`
 	// EndedAt is the coordinator's time of day when the job ended, in milliseconds since
-	// 1970.
+	// 1970. Only hosts of earlier versions decide by it.
 	EndedAt int64 `cbor:"5,keyasint,omitempty"`
 }
 
--- a/internal/scheduling/jobstate/table.go
+++ b/internal/scheduling/jobstate/table.go
@@ -15,6 +15,9 @@
 	Progress *jobspec.Progress
 	// Cancelled is set once a cancellation has been accepted.
 	Cancelled bool
+	// EndSeenAt is Table.Now as of when the recorded end was first applied. It means nothing
+	// before Progress has an end.
+	EndSeenAt int64
 
 	// specAt, progressAt and cancelAt are one more than the offsets of the records last
 	// applied; 0 for none.
@@ -24,7 +27,7 @@
 // State returns the state that is reported to callers.
 func (j *Job) State() jobspec.State {
 	switch {
-	case j.Progress != nil && j.Progress.State.Ended():
+	case j.ended():
 		return j.Progress.State
 	case j.Cancelled:
 		return jobspec.Cancelled
@@ -34,6 +37,9 @@
 	return jobspec.Queued
 }
 
+// ended reports whether the recorded progress has an end.
+func (j *Job) ended() bool { return j.Progress != nil && j.Progress.State.Ended() }
+
 // Change describes what a record changed.
 type Change struct {
 	// Job is the ID of the job that changed; empty for none.
@@ -57,13 +63,34 @@
 	Exits map[string]uint64
 	// NextOffset is the offset of the next record to apply. The caller advances it.
 	NextOffset uint64
+	// Now is the time at which the next record is applied, on a steady clock of the host. The
+	// caller advances it.
+	Now int64
 
 	// claimAt is one more than the offset of the record of Claim.
 	claimAt uint64
+	// endsSeen holds the ends that were known at the last Reset and were not read again yet.
+	endsSeen map[string]endSeen
+}
+
+// endSeen tells when the end of a job was first applied. progressAt identifies its record, since
+// another job may have the ID of one that was dropped.
+type endSeen struct {
+	progressAt uint64
+	at         int64
 }
 
-// Reset empties t. It precedes another read of the newest records of all keys.
-func (t *Table) Reset() { *t = Table{} }
+// Reset empties t. It precedes another read of the newest records of all keys. An end that is
+// read again keeps its time.
+func (t *Table) Reset() {
+	ends := make(map[string]endSeen)
+	for id, j := range t.Jobs {
+		if j.ended() {
+			ends[id] = endSeen{progressAt: j.progressAt, at: j.EndSeenAt}
+		}
+	}
+	*t = Table{Now: t.Now, endsSeen: ends}
+}
 
 // Apply applies the record at an offset. Records may be repeated and, while the newest
 // ones are read, arrive out of order; for each key the record with the highest offset
@@ -114,13 +141,28 @@
 		if err := decode(r.Value, &p); err != nil {
 			return Change{}, errors.Wrapf(err, "decode the progress of job %q at offset %d", id, offset)
 		}
+		wasEnded := j.ended()
 		j.Progress, j.progressAt = p, at
+		if j.ended() && !wasEnded {
+			j.EndSeenAt = t.endSeenAt(id, at)
+		}
 	default:
 		return Change{}, errors.Newf("the record at offset %d has the unknown kind %q", offset, kind)
 	}
 	return Change{Job: id}, nil
 }
 
+// endSeenAt returns when the end of a job was first applied. progressAt is one more than the
+// offset of its record, which is applied now.
+func (t *Table) endSeenAt(id string, progressAt uint64) int64 {
+	seen, ok := t.endsSeen[id]
+	delete(t.endsSeen, id)
+	if ok && seen.progressAt == progressAt {
+		return seen.at
+	}
+	return t.Now
+}
+
 // checkAcceptance returns an error if s, which may be nil, is not an acceptance of the job
 // with the given ID. Hosts write validated ones only; the coordinator relies on it.
 func checkAcceptance(id string, s *jobspec.Spec) error {
--- a/internal/scheduling/simulation/cluster.go
+++ b/internal/scheduling/simulation/cluster.go
@@ -207,6 +207,7 @@
 
 // write writes a record to the store and sends the change to the leader.
 func (c *Cluster) write(r jobstate.Record) {
+	c.table.Now = c.now
 	change, err := c.table.Apply(c.table.NextOffset, r)
 	if !change.ClaimChanged {
 		c.ReplicatedBytes += len(r.Key) + len(r.Value)
