Count a job's retention from when its end is in the store

Seen by callers: when the store takes the end of a job late, its end is shown for less than status_s. With the end 60 s on its way it was shown for about 70 s instead of 120 s.

Cause: the retention began when the coordinator decided the end, which nobody sees yet.

Evidence: TestRetentionBeginsWithTheRecordedEnd without the change of recorder.go: map {} does not contain "b". Green with it.

A job now has no time to be forgotten at until the batch with its end is confirmed; no caller can see the end before the store has it.

--- a/internal/host/hostconfig/settings.go
+++ b/internal/host/hostconfig/settings.go
@@ -28,7 +28,8 @@
 	// RevocationTimeout is the time within which every host must reject a revoked API
 	// key.
 	RevocationTimeout int64
-	// Retention is how long the state of an ended job can be queried.
+	// Retention is how long the state of an ended job can be queried at least, from when
+	// callers first see the end.
 	Retention int64
 	// RestoreTime is the time that a task needs to resume from a checkpoint.
 	RestoreTime int64
--- a/internal/scheduling/coordinator/attempt.go
+++ b/internal/scheduling/coordinator/attempt.go
@@ -525,7 +525,6 @@
 // endJob ends a job in the given state and stops its remaining attempts.
 func (s *State) endJob(j *job, state jobspec.State, why string) {
 	j.progress.State, j.progress.EndedAt = state, s.wall
-	s.retain(j, s.now)
 	s.guaranteesValid = false
 	s.dropAdvice(j)
 	s.markDirty(j)
--- a/internal/scheduling/coordinator/jobs.go
+++ b/internal/scheduling/coordinator/jobs.go
@@ -75,13 +75,14 @@
 	}
 }
 
-// retain keeps an ended job for the retention time. seenAt is when its end was decided or read.
+// retain keeps an ended job for the retention time. seenAt is a time at which its end was in
+// the store.
 func (s *State) retain(j *job, seenAt int64) { j.forgetAt = seenAt + s.Retention + retentionSlack }
 
 // forgetEndedJobs drops the jobs whose retention time has passed.
 func (s *State) forgetEndedJobs() {
 	for id, j := range s.jobs {
-		if j.progress.State.Ended() && len(j.attempts) == 0 && s.now > j.forgetAt {
+		if j.progress.State.Ended() && j.forgetAt != 0 && len(j.attempts) == 0 && s.now > j.forgetAt {
 			delete(s.jobs, id)
 			s.recordsToDrop = append(s.recordsToDrop, id)
 		}
--- a/internal/scheduling/coordinator/recorder.go
+++ b/internal/scheduling/coordinator/recorder.go
@@ -17,6 +17,8 @@
 	detailsToDrop []string
 	// recordsToDrop holds the IDs of jobs whose records are to be dropped.
 	recordsToDrop []string
+	// endedJobs holds the jobs whose ends are in the last batch.
+	endedJobs []*job
 	// batch is the number of the last batch sent, and written that of the last one
 	// in the store.
 	batch, written uint64
@@ -126,6 +128,7 @@
 			return err
 		}
 		j.recordedView = view
+		s.endedJobs = append(s.endedJobs, j)
 		s.detailsToDrop = append(s.detailsToDrop, j.id)
 		r.Records = append(r.Records, rs...)
 		return nil
@@ -164,6 +167,11 @@
 		s.claimWritten = e.Batch
 	}
 	s.claimVerifiedAt = max(s.claimVerifiedAt, e.SentAt)
+	for _, j := range s.endedJobs {
+		s.retain(j, s.now)
+	}
+	clear(s.endedJobs)
+	s.endedJobs = s.endedJobs[:0]
 	n := 0
 	for _, u := range s.unrecordedUnits {
 		if u.batch > s.written {
--- a/internal/scheduling/coordinator/retention_test.go
+++ b/internal/scheduling/coordinator/retention_test.go
@@ -42,6 +42,18 @@
 	}
 }
 
+// The end of a job that the store takes late is shown late; it is shown for as long.
+func TestRetentionBeginsWithTheRecordedEnd(t *testing.T) {
+	x := newExchange(t)
+	x.submit()
+	x.holdRecords = true
+	x.apply(coordinator.Event{Job: &coordinator.JobChanged{Spec: &jobspec.Spec{ID: "b"}, Cancelled: true}})
+	x.wait(60_000)
+	x.confirmRecords()
+	x.wait(119_000)
+	assert.Contains(t, x.table.Jobs, "b")
+}
+
 // A coordinator that takes over goes on counting where its own copy of the table began to.
 func TestSuccessorCountsFromTheEndItRead(t *testing.T) {
 	x := endedJob(t)
--- a/internal/scheduling/coordinator/state.go
+++ b/internal/scheduling/coordinator/state.go
@@ -60,7 +60,7 @@
 	RemoteFactor float64
 	// RestoreTime is how long it takes to resume from a checkpoint.
 	RestoreTime int64
-	// Retention is how long ended jobs are retained. Default 120000.
+	// Retention is how long the end of a job is shown at least. Default 120000.
 	Retention int64
 	// LinkRate is the rate of the host's network link, in bytes a second, and CallRate the
 	// number of calls a second that would take all of its processor time. Polls and start
@@ -178,7 +178,8 @@
 	avoidedWorkers map[int]map[string]int64
 	// guaranteed is set while the organisation's guarantee covers the job.
 	guaranteed bool
-	// forgetAt is when the job is forgotten, on the clock of Event.Now; 0 before its end.
+	// forgetAt is when the job is forgotten, on the clock of Event.Now; 0 before its end is in
+	// the store.
 	forgetAt int64
 	// dirty is set while the job has changes that are not in a batch yet.
 	dirty bool
