Judge start times of workers by a time of day that is never set back

Seen by callers: a coordinator whose time of day is set back by more than ten minutes finds no worker: entries and answers count as odd, since their start times lie in its future. Its leases end and all running tasks start again.

Cause: plausibleLifetime compared them with the present time of day. Ten minutes cover the jumps by seconds that the platform promises, not a clock that is set wrong.

The bound is the steady clock plus the highest difference to the time of day that was seen in this process. A clock that is set forward raises it, so that one that was behind at the start is corrected.

--- a/internal/host/frontend/directory.go
+++ b/internal/host/frontend/directory.go
@@ -19,8 +19,8 @@
 	// once a second, and most entries contain no change.
 	workersReadPause = 200 * time.Millisecond
 	// maxClockDifference is how far the time of day of a worker may be ahead of this
-	// host's, in milliseconds. Both are close to the true time, but may jump by seconds, and a
-	// host whose clock is set wrong must still find its workers.
+	// host's, in milliseconds; see plausibleLifetime. Both are close to the true time, but may
+	// jump by seconds, and a host whose clock is set wrong must still find its workers.
 	maxClockDifference = 600_000
 )
 
@@ -104,7 +104,24 @@
 
 // plausibleLifetime reports whether a lifetime, which is a worker's start time, does not
 // lie further in the future than the clocks differ. If it did, the worker's true lifetime
-// would look like an earlier one from then on.
+// would look like an earlier one from then on. The bound does not follow a time of day that is
+// set back, since nearly all lifetimes would then look wrong.
 func (h *Host) plausibleLifetime(lifetime int64) bool {
-	return lifetime <= h.Wall().UnixMilli()+maxClockDifference
+	return lifetime <= h.latestWall()+maxClockDifference
+}
+
+// latestWall returns the time of day, in milliseconds, as if the clock had never been set back
+// since the process started.
+func (h *Host) latestWall() int64 {
+	now := h.now()
+	lead := h.Wall().UnixMilli() - now
+	for {
+		highest := h.wallLead.Load()
+		if lead <= highest {
+			return now + highest
+		}
+		if h.wallLead.CompareAndSwap(highest, lead) {
+			return now + lead
+		}
+	}
 }
--- a/internal/host/frontend/host.go
+++ b/internal/host/frontend/host.go
@@ -60,6 +60,9 @@
 	jobsReadFailed atomic.Bool
 	// roundTrip is the estimated time of a short call to the store, in milliseconds.
 	roundTrip atomic.Int64
+	// wallLead is the highest difference between the time of day and now that was seen, in
+	// milliseconds; see latestWall.
+	wallLead atomic.Int64
 	// ineligibleUntil is the time before which this host must not claim the role. It is
 	// used by the goroutine of acquireRole only.
 	ineligibleUntil int64
@@ -110,6 +113,7 @@
 	if h.Wall == nil {
 		h.Wall = time.Now
 	}
+	h.wallLead.Store(h.Wall().UnixMilli() - h.now())
 	h.currentRevocationTimeout.Store(h.RevocationTimeout)
 	h.writer.init()
 	h.monitor.init(h)
