--- a/internal/scheduling/jobstate/table.go
+++ b/internal/scheduling/jobstate/table.go
@@ -141,26 +141,25 @@
 		if err := decode(r.Value, &p); err != nil {
 			return Change{}, errors.Wrapf(err, "decode the progress of job %q at offset %d", id, offset)
 		}
-		wasEnded := j.ended()
-		j.Progress, j.progressAt = p, at
-		if j.ended() && !wasEnded {
-			j.EndSeenAt = t.endSeenAt(id, at)
-		}
+		t.setProgress(id, j, p, at)
 	default:
 		return Change{}, errors.Newf("the record at offset %d has the unknown kind %q", offset, kind)
 	}
 	return Change{Job: id}, nil
 }
 
-// endSeenAt returns when the end of a job was first applied. progressAt is one more than the
-// offset of its record, which is applied now.
-func (t *Table) endSeenAt(id string, progressAt uint64) int64 {
-	seen, ok := t.endsSeen[id]
-	delete(t.endsSeen, id)
-	if ok && seen.progressAt == progressAt {
-		return seen.at
+// setProgress applies the progress of a job. at is one more than the offset of its record.
+func (t *Table) setProgress(id string, j *Job, p *jobspec.Progress, at uint64) {
+	wasEnded := j.ended()
+	j.Progress, j.progressAt = p, at
+	if !j.ended() || wasEnded {
+		return
 	}
-	return t.Now
+	j.EndSeenAt = t.Now
+	if seen, ok := t.endsSeen[id]; ok && seen.progressAt == at {
+		j.EndSeenAt = seen.at
+	}
+	delete(t.endsSeen, id)
 }
 
 // checkAcceptance returns an error if s, which may be nil, is not an acceptance of the job
