--- a/internal/scheduling/coordinator/state.go
+++ b/internal/scheduling/coordinator/state.go
@@ -60,7 +60,7 @@
 	RemoteFactor float64
 	// RestoreTime is how long it takes to resume from a checkpoint.
 	RestoreTime int64
-	// Retention is how long ended jobs are retained. Default 120000.
+	// Retention is how long the end of a job is shown at least. Default 120000.
 	Retention int64
 	// LinkRate is the rate of the host's network link, in bytes a second, and CallRate the
 	// number of calls a second that would take all of its processor time. Polls and start
@@ -178,6 +178,9 @@
 	avoidedWorkers map[int]map[string]int64
 	// guaranteed is set while the organisation's guarantee covers the job.
 	guaranteed bool
+	// forgetAt is when the job is forgotten, on the clock of Event.Now; 0 before its end is in
+	// the store.
+	forgetAt int64
 	// dirty is set while the job has changes that are not in a batch yet.
 	dirty bool
 	// recordedView is the state that was last recorded for callers.
@@ -189,7 +192,8 @@
 	placementAttempts map[jobspec.TaskID]placementAttempt
 }
 
-// Start loads the jobs of the job table. It must be called once, before Apply. details
+// Start loads the jobs of the job table, whose clock is that of now. It must be called once,
+// before Apply. details
 // must have been read after their partition was fenced. predecessorsGone reports that
 // earlier coordinators certainly send no more orders.
 func (s *State) Start(now, wall int64, table *jobstate.Table, details jobstate.Details, config *queueconfig.Configuration, predecessorsGone bool) []Effect {
@@ -241,6 +245,7 @@
 	}
 	s.applyRoute(j)
 	if j.progress.State.Ended() {
+		s.retain(j, entry.EndSeenAt)
 		if detail != nil {
 			s.detailsToDrop = append(s.detailsToDrop, id)
 		}
