Lasting work may be preempted for a guarantee

Cause: State.victims left out every run of a long-running step, whatever its rank, so that a guaranteed request had nothing to preempt.

Guaranteed requests now try two more sets of victims, after all ordinary ones: lasting work that is not urgent, then lasting work of urgent jobs beyond their tenants' guarantees. A guaranteed job's own work is in no set. Other urgent requests preempt what they did before. A step with may_miss has a budget for the pass: what it may miss, less all of its tasks that are not known to be at work. The trial spends it, and what is committed stays spent. Stopping a lasting run costs 30 s of its use and the restart cost by its run number, as for other work, so that the same unit is not chosen each time. What was stopped waits like any other task.

--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -54,8 +54,8 @@
 	refusals      []refusal
 	// now is the time of the pass.
 	now int64
-	// victimSets holds the possible victims at the start of the pass, by their lowest rank.
-	victimSets map[int]*victimSet
+	// victimSets holds the possible victims at the start of the pass, by their lowest ranks.
+	victimSets map[minRanks]*victimSet
 }
 
 // plan runs a scheduling pass: it tries to place all waiting tasks, in the order of
@@ -65,6 +65,7 @@
 	if len(rs) == 0 {
 		return
 	}
+	s.stopBudgets = nil
 	pools := make(map[string]*candidatePool)
 	for i := range rs {
 		r := &rs[i]
--- a/internal/scheduling/coordinator/preempt.go
+++ b/internal/scheduling/coordinator/preempt.go
@@ -1,8 +1,10 @@
 package coordinator
 
 import (
+	"math"
 	"slices"
 
+	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobspec"
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/placement"
 )
 
@@ -12,8 +14,7 @@
 	if pool.refused(r, preemptRack, demand.Tasks) {
 		return false
 	}
-	for _, minRank := range preemptableRanks(r) {
-		set := s.victims(pool, minRank)
+	for _, set := range s.victimSets(r, pool) {
 		var places, stopped []int
 		bestCost := -1.0
 		for _, rack := range sortedKeys(pool.racks) {
@@ -27,7 +28,7 @@
 			}
 		}
 		if places != nil {
-			s.commitPlacement(r, pool, r.indices, places, selectUnits(set.units, stopped))
+			s.commitPlacement(r, pool, r.indices, places, set.take(stopped))
 			return true
 		}
 	}
@@ -35,14 +36,37 @@
 	return false
 }
 
-// preemptableRanks returns the lowest ranks that a request may preempt, in the order in
-// which they are tried: guaranteed work preempts other urgent work only if preempting
-// non-urgent work does not free enough capacity.
-func preemptableRanks(r *request) []int {
+// minRanks holds the lowest ranks of the work that may be preempted.
+type minRanks struct {
+	// ordinary is of work that ends by itself, lasting of long-running steps.
+	ordinary, lasting int
+}
+
+// noRank is higher than any rank.
+const noRank = math.MaxInt
+
+// preemptableRanks returns what a request may preempt, in the order in which it is tried.
+// Guaranteed work preempts other urgent work only if preempting non-urgent work does not free
+// enough capacity, and lasting work only if preempting all the rest does not. Other urgent
+// work does not preempt lasting work, which nobody owes it.
+func preemptableRanks(r *request) []minRanks {
 	if r.rank == rankGuaranteed {
-		return []int{rankNonUrgent, rankUrgent}
+		return []minRanks{{rankNonUrgent, noRank}, {rankUrgent, noRank}, {rankUrgent, rankNonUrgent}, {rankUrgent, rankUrgent}}
 	}
-	return []int{rankNonUrgent}
+	return []minRanks{{rankNonUrgent, noRank}}
+}
+
+// victimSets returns the sets of victims for a request in the order in which they are tried.
+// Each contains the one before it; those that add nothing are left out.
+func (s *State) victimSets(r *request, pool *candidatePool) []*victimSet {
+	var sets []*victimSet
+	for _, ranks := range preemptableRanks(r) {
+		set := s.victims(pool, ranks)
+		if n := len(sets); n == 0 || len(set.units) > len(sets[n-1].units) {
+			sets = append(sets, set)
+		}
+	}
+	return sets
 }
 
 // preempt places the tasks at indices on the eligible candidates by preempting other
@@ -51,15 +75,14 @@
 	if pool.refused(r, preemptSpread, demand.Tasks) {
 		return
 	}
-	for _, minRank := range preemptableRanks(r) {
-		set := s.victims(pool, minRank)
+	for _, set := range s.victimSets(r, pool) {
 		all := make([]int, len(set.victims))
 		for i := range all {
 			all[i] = i
 		}
 		places, stopped, _ := placement.PlaceWithPreemption(pool.candidates, eligible, demand, set.victims, set.running(all))
 		if len(places) == demand.Tasks {
-			s.commitPlacement(r, pool, indices, places, selectUnits(set.units, stopped))
+			s.commitPlacement(r, pool, indices, places, set.take(stopped))
 			return
 		}
 	}
@@ -68,10 +91,15 @@
 	}
 }
 
-func selectUnits(units []*unit, indices []int) []*unit {
+// take returns the units of the victims at indices, which are about to be stopped, and takes
+// them from their steps' budgets.
+func (set *victimSet) take(indices []int) []*unit {
 	out := make([]*unit, 0, len(indices))
 	for _, i := range indices {
-		out = append(out, units[i])
+		out = append(out, set.units[i])
+		if v := &set.victims[i]; v.Budget != nil {
+			v.Budget.Left -= v.Runs
+		}
 	}
 	return out
 }
@@ -103,10 +131,10 @@
 	return out
 }
 
-// victims returns the units of minRank or higher that may be preempted, the cost and the
-// freed resources of each, and the indices of the units that run on each rack.
-func (s *State) victims(pool *candidatePool, minRank int) *victimSet {
-	if set := pool.victimSets[minRank]; set != nil {
+// victims returns the units of the given ranks or higher that may be preempted, the cost and
+// the freed resources of each, and the indices of the units that run on each rack.
+func (s *State) victims(pool *candidatePool, ranks minRanks) *victimSet {
+	if set := pool.victimSets[ranks]; set != nil {
 		return set
 	}
 	var units []*unit
@@ -115,8 +143,11 @@
 	byRack := make(map[string][]int)
 	for i, w := range pool.workers {
 		for _, a := range w.sortedAttempts() {
-			if a.orphan || a.phase == phaseStopping || a.phase == phasePlanned || s.rank(a.job) < minRank ||
-				a.spec().LongRunning || a.job.progress.State.Ended() {
+			minRank := ranks.ordinary
+			if a.spec().LongRunning {
+				minRank = ranks.lasting
+			}
+			if a.orphan || a.phase == phaseStopping || a.phase == phasePlanned || s.rank(a.job) < minRank || a.job.progress.State.Ended() {
 				continue
 			}
 			n, ok := positions[a.unit]
@@ -124,10 +155,12 @@
 				n = len(units)
 				positions[a.unit] = n
 				units = append(units, a.unit)
-				victims = append(victims, placement.Victim{Cost: restartCost * float64(a.run)})
+				victims = append(victims, placement.Victim{
+					Cost: restartCost * float64(a.run), Runs: len(a.attempts), Budget: s.stopBudget(a.unit),
+				})
 			}
 			victims[n].Add(i, a.need)
-			victims[n].Cost += s.lostWork(a)
+			victims[n].Cost += s.stopCost(a)
 			if indices := byRack[w.rack]; len(indices) == 0 || indices[len(indices)-1] != n {
 				byRack[w.rack] = append(indices, n)
 			}
@@ -138,10 +171,39 @@
 		byRack[rack] = slices.Compact(indices)
 	}
 	if pool.victimSets == nil {
-		pool.victimSets = make(map[int]*victimSet)
+		pool.victimSets = make(map[minRanks]*victimSet)
+	}
+	pool.victimSets[ranks] = &victimSet{units: units, victims: victims, byRack: byRack}
+	return pool.victimSets[ranks]
+}
+
+// stopBudget returns how many runs of u's step may still be preempted in this pass; nil if the
+// step sets no limit. Those not known to be at work count as missing, whatever the cause.
+func (s *State) stopBudget(u *unit) *placement.StopBudget {
+	step := u.spec()
+	if !step.LongRunning || step.MaxUnavailable == 0 {
+		return nil
+	}
+	id := stepID(u.job, u.occurrence, u.step)
+	if b := s.stopBudgets[id]; b != nil {
+		return b
+	}
+	missing := step.Tasks
+	for a := range u.job.attempts {
+		if a.occurrence == u.occurrence && a.step == u.step && s.atWork(a) {
+			missing--
+		}
+	}
+	if s.stopBudgets == nil {
+		s.stopBudgets = make(map[jobspec.TaskID]*placement.StopBudget)
 	}
-	pool.victimSets[minRank] = &victimSet{units: units, victims: victims, byRack: byRack}
-	return pool.victimSets[minRank]
+	s.stopBudgets[id] = &placement.StopBudget{Left: max(0, step.MaxUnavailable-missing)}
+	return s.stopBudgets[id]
+}
+
+// atWork reports whether a run of a lasting step is known to serve its users.
+func (s *State) atWork(a *attempt) bool {
+	return a.phase == phaseRunning && !a.orphan && !a.aborted && a.percent >= 100 && a.w.silentSince == 0
 }
 
 // restartCost is the fixed cost of preempting a unit in its first run, in core seconds, since
@@ -149,6 +211,20 @@
 // unit, which loses little by its checkpoints, would be preempted each time.
 const restartCost = 20
 
+// stopCost returns what stopping a costs, in core seconds. Lasting work has been of use all
+// along, so that stopping it loses the time in which it is away, which is taken to be
+// lastingAbsence.
+func (s *State) stopCost(a *attempt) float64 {
+	if a.spec().LongRunning {
+		return lastingAbsence / 1000 * a.spec().Need.Weight()
+	}
+	return s.lostWork(a)
+}
+
+// lastingAbsence is the assumed time until a preempted lasting task is at work again, in
+// milliseconds.
+const lastingAbsence = 30_000
+
 // lostWork returns the work that would be lost by stopping a, in core seconds. For a
 // step with checkpoints it is at most the work of the time that stopping and restoring
 // take.
--- a/internal/scheduling/coordinator/state.go
+++ b/internal/scheduling/coordinator/state.go
@@ -149,6 +149,8 @@
 	byID []*worker
 	// reservations holds the workers reserved for a waiting gang, by service.
 	reservations map[string]*reservation
+	// stopBudgets holds, by step, how many runs may still be preempted in this pass.
+	stopBudgets map[jobspec.TaskID]*placement.StopBudget
 	// capacityGains counts the changes that may have made capacity available. If it is
 	// unchanged, a placement attempt need not be repeated yet; see skipRetry.
 	capacityGains int64
--- a/internal/scheduling/placement/preemption.go
+++ b/internal/scheduling/placement/preemption.go
@@ -14,6 +14,15 @@
 	Cost float64
 	// Frees is the capacity that stopping the victim frees, once per candidate.
 	Frees []FreedCapacity
+	// Runs is the number of runs in the victim. It counts against Budget, if that is set.
+	Runs   int
+	Budget *StopBudget
+}
+
+// StopBudget bounds how many runs of one step may be stopped.
+type StopBudget struct {
+	// Left is at least 0.
+	Left int
 }
 
 // FreedCapacity is what a victim frees on one candidate, given by its index.
@@ -73,6 +82,8 @@
 	victims    []trialVictim
 	// fits is the number of tasks that fit on the candidates now.
 	fits int
+	// spent is the part of each budget that the stopped victims use, at most Left.
+	spent map[*StopBudget]int
 }
 
 // trialVictim is a victim that frees capacity on a trial's candidates.
@@ -82,13 +93,15 @@
 	index   int
 	cost    float64
 	frees   []FreedCapacity
+	runs    int
+	budget  *StopBudget
 	stopped bool
 }
 
 // newTrial returns a trial of the candidates at indices with the eligible victims that free
 // anything there.
 func newTrial(candidates []Candidate, indices []int, r *Request, victims []Victim, eligible []int) *trial {
-	t := &trial{request: r, candidates: make([]Candidate, len(indices)), victims: make([]trialVictim, 0, len(eligible))}
+	t := &trial{request: r, candidates: make([]Candidate, len(indices)), victims: make([]trialVictim, 0, len(eligible)), spent: make(map[*StopBudget]int)}
 	positions := make(map[int]int, len(indices))
 	for k, i := range indices {
 		t.candidates[k] = candidates[i]
@@ -96,7 +109,7 @@
 		t.fits += r.Fit(&t.candidates[k])
 	}
 	for _, v := range eligible {
-		w := trialVictim{index: v, cost: victims[v].Cost}
+		w := trialVictim{index: v, cost: victims[v].Cost, runs: victims[v].Runs, budget: victims[v].Budget}
 		for _, f := range victims[v].Frees {
 			if k, ok := positions[f.Candidate]; ok && !t.candidates[k].Excluded {
 				w.frees = append(w.frees, FreedCapacity{Candidate: k, Resources: f.Resources})
@@ -134,6 +147,7 @@
 func (t *trial) stop(k int) {
 	v := &t.victims[k]
 	v.stopped = true
+	t.spent[v.budget] += v.runs
 	for _, f := range v.frees {
 		c := &t.candidates[f.Candidate]
 		before := t.request.Fit(c)
@@ -163,6 +177,7 @@
 			continue
 		}
 		t.fits, v.stopped = without, false
+		t.spent[v.budget] -= v.runs
 		for _, f := range v.frees {
 			c := &t.candidates[f.Candidate]
 			c.Free = c.Free.Sub(f.Resources)
@@ -177,7 +192,7 @@
 	need := max(1, t.request.Step.Reserved().Weight())
 	for k := range t.victims {
 		v := &t.victims[k]
-		if v.stopped {
+		if v.stopped || v.budget != nil && t.spent[v.budget]+v.runs > v.budget.Left {
 			continue
 		}
 		gain := 0.0
