Failures of lasting tasks no longer add up in the quarantine

Cause: only a run that ends done resets a worker's failures and the length of its quarantine, and lasting runs do not end so.

A lasting run that has been at work for the length of a first quarantine (5 s), with no failure on the worker in that time, now counts as such a success. While runs go on failing there, the failures add up as before, also beside a lasting run that works.

Before: lasting_test.go:57: "16200" is not less than "16200", c waits for a quarantine After: the test passes.

--- a/internal/scheduling/coordinator/jobs.go
+++ b/internal/scheduling/coordinator/jobs.go
@@ -118,6 +118,7 @@
 	// The failure count is raised so that the worker is avoided until a run succeeds
 	// there: a worker on which a task stalled is likely to stall others.
 	a.w.failures++
+	a.w.failedAt = s.now
 	s.quarantine(a.w, "a task has stalled")
 	s.abortUnit(a.unit, "a task has stalled")
 }
--- a/internal/scheduling/coordinator/lasting_test.go
+++ b/internal/scheduling/coordinator/lasting_test.go
@@ -4,7 +4,10 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
+	"github.com/limpetrelay/limpetrelay/internal/scheduling/coordinator"
+	"github.com/limpetrelay/limpetrelay/internal/scheduling/placement"
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/simulation"
 )
 
@@ -36,3 +39,32 @@
 		assert.Equal(t, starts, rs[0].Starts, c.name)
 	}
 }
+
+// Guards against failures of lasting tasks that add up although the worker serves in between:
+// each later pair of them would cost a longer quarantine than a lasting task may wait.
+func TestFailuresOfLastingTasksDoNotAddUp(t *testing.T) {
+	x := newExchange(t)
+	x.list("w", 500, false)
+	x.answerPolls("w", 500)
+	for n, id := range []string{"a", "b", "c", "d"} {
+		spec := batch(id, 1, 1000)
+		spec.Steps[0].LongRunning = true
+		at := x.now
+		x.apply(coordinator.Event{Job: &coordinator.JobChanged{Spec: &spec}})
+		for len(x.starts) == n {
+			x.wait(50)
+			x.answerPolls("w", 500)
+			require.Less(t, x.now, at+3000, "%s waits for a quarantine", id)
+		}
+		start := x.answerStart(placement.Executed, x.now-500)
+		run := placement.Run{Task: start.Order.Task, Run: start.Order.Run, Percent: 100}
+		for range 120 {
+			x.wait(50)
+			x.answerPolls("w", 500, run)
+		}
+		x.ended = []placement.End{{Number: int64(n + 1), Task: run.Task, Run: run.Run, Outcome: placement.EndFailed}}
+		x.wait(50)
+		x.answerPolls("w", 500)
+		x.apply(coordinator.Event{Job: &coordinator.JobChanged{Spec: &spec, Cancelled: true}})
+	}
+}
--- a/internal/scheduling/coordinator/quarantine.go
+++ b/internal/scheduling/coordinator/quarantine.go
@@ -5,6 +5,7 @@
 // recordFailure counts a failure of the job's step that w may have caused. The second
 // failure since the last success on w, and each later one, quarantines w.
 func (w *worker) recordFailure(s *State, j *job, step int, why string) {
+	w.failedAt = s.now
 	if w.lastFailedJob == j.id || len(j.avoidedWorkers[step]) > 1 {
 		// The last failure on this worker was also the job's, or the step has failed on
 		// several workers: the job is the likelier cause.
@@ -18,6 +19,9 @@
 	s.quarantine(w, why)
 }
 
+// forgiveFailures forgets the failures on w after a success.
+func (w *worker) forgiveFailures() { w.failures, w.lastFailedJob, w.quarantineTime = 0, "", 0 }
+
 // quarantine excludes a worker from placement for a while. The time doubles with each
 // quarantine, up to maxQuarantine, until a run succeeds on the worker.
 func (s *State) quarantine(w *worker, why string) {
--- a/internal/scheduling/coordinator/worker.go
+++ b/internal/scheduling/coordinator/worker.go
@@ -72,8 +72,10 @@
 	unschedulableUntil int64
 	// failures counts the failures and stalls attributed to the worker since the last
 	// success. Successive failures of one job, whose ID lastFailedJob holds, count once.
+	// failedAt is when the last run failed or stalled there, counted or not.
 	failures      int
 	lastFailedJob string
+	failedAt      int64
 	// quarantineTime is the length of the last quarantine since the last success; 0 if
 	// there was none.
 	quarantineTime int64
@@ -139,7 +141,8 @@
 	w.reconciled = false
 	w.clock, w.clockAt, w.leaseEnd, w.silentSince = 0, 0, 0, 0
 	w.lastEnd, w.ackedEnd, w.pendingAcks = 0, 0, nil
-	w.failures, w.lastFailedJob, w.quarantineTime, w.unschedulableUntil = 0, "", 0, 0
+	w.forgiveFailures()
+	w.unschedulableUntil = 0
 	for _, a := range w.attempts {
 		if a.maybeStarted {
 			// The stop was executed by the last lifetime only.
@@ -246,7 +249,7 @@
 		s.log("run ended", slog.String("id", e.Task.Job), slog.Int("step", e.Task.Step), slog.Int("index", e.Task.Index),
 			slog.Int("run", e.Run), slog.String("worker", w.ID), slog.String("how", string(e.Outcome)))
 		if e.Outcome == placement.EndDone {
-			w.failures, w.lastFailedJob, w.quarantineTime = 0, "", 0
+			w.forgiveFailures()
 		}
 		checkpoint := e.Checkpoint
 		if checkpoint == "" {
@@ -319,6 +322,10 @@
 	if r.Percent != a.percent {
 		a.percent, a.progressedAt = r.Percent, s.now
 	}
+	if a.spec().LongRunning && s.atWork(a) && s.now >= max(a.progressedAt, a.w.failedAt)+s.Quarantine {
+		// Lasting runs do not end as done. This one shows as much.
+		a.w.forgiveFailures()
+	}
 	if a.phase == phaseUnconfirmed || a.phase == phaseSent {
 		a.phase = phaseRunning
 	}
