coordinator: await the longer leases of hosts of earlier versions

It was shown in tests only.

A host of an earlier version polls for 12 s and grants a lease of 6 s with the last poll. If it is cut off from the store and alone reaches a worker, what runs there goes on for 6 s after its successor has started it elsewhere.

A claim now says whether the leases of its coordinator and of all earlier ones that may still act are bounded. Claims of earlier versions have no such field, and their decoders ignore it. A successor of a claim that does not say so awaits a lease more, and says so itself only once the earlier coordinators are gone.

The waits among hosts of this version are as they were.

--- a/internal/host/frontend/leader.go
+++ b/internal/host/frontend/leader.go
@@ -107,6 +107,7 @@
 	h.mu.Unlock()
 	r, err := jobstate.ClaimRecord(&jobstate.Claim{
 		Host: h.Name(), Incarnation: h.Incarnation, SoleLeader: known && len(active) == 0, Predecessors: active,
+		BoundedLeases: prior.LeasesBounded() || known && len(active) == 0,
 	})
 	if err != nil {
 		h.Logger.Error("claim cannot be written", slog.String("error", err.Error()))
@@ -178,7 +179,7 @@
 	h.mu.Lock()
 	active, known := h.table.ActiveHolders(&prior, h.Name())
 	h.mu.Unlock()
-	l.state.Predecessors, l.state.PriorLeases = active, prior.Leases
+	l.state.Predecessors, l.state.PriorLeases, l.state.UnboundedLeases = active, prior.Leases, !prior.LeasesBounded()
 	if err != nil {
 		h.Logger.Warn("role given back", slog.Uint64("term", term), slog.String("why", err.Error()))
 		h.ineligibleUntil = h.now() + ineligiblePeriod
--- a/internal/scheduling/coordinator/lease.go
+++ b/internal/scheduling/coordinator/lease.go
@@ -121,6 +121,9 @@
 		// lease until its claim ran out, or until it was known to be gone.
 		sinceAcquired := scaleElapsed(s.now - s.acquiredAt)
 		left := s.ClaimValidity - sinceAcquired
+		if s.UnboundedLeases {
+			left += s.Lease
+		}
 		if prior, ok := s.priorLeases[w.ID]; ok {
 			if prior.MaybeUnseen {
 				return prior.Left - sinceAcquired + leaseMargin
--- a/internal/scheduling/coordinator/lease_test.go
+++ b/internal/scheduling/coordinator/lease_test.go
@@ -10,6 +10,7 @@
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobspec"
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobstate"
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/placement"
+	"github.com/limpetrelay/limpetrelay/wire"
 )
 
 // lifetime is the start of all workers in these tests, in milliseconds.
@@ -18,12 +19,16 @@
 // newSuccessor returns a coordinator that has taken over from one whose fate is not known. A
 // task runs on the worker w, which is not listed, and the worker v is idle.
 func newSuccessor(t *testing.T, prior ...jobstate.WorkerLease) *exchange {
+	return succeed(t, coordinator.State{Term: 7, PriorLeases: prior})
+}
+
+func succeed(t *testing.T, s coordinator.State) *exchange {
 	spec := batch("b", 1, 30_000)
 	placed := &jobspec.Progress{
 		State: jobspec.Running, Started: true,
 		Occurrences: jobspec.Occurrences{{{{Phase: jobspec.Placed, Run: 1, Worker: "w", Lifetime: lifetime}}}},
 	}
-	x := &exchange{T: t, now: 1000, state: coordinator.State{Term: 7, PriorLeases: prior}}
+	x := &exchange{T: t, now: 1000, state: s}
 	table := jobstate.Table{Jobs: map[string]*jobstate.Job{"b": {Spec: &spec, Progress: placed}}}
 	x.collect(x.state.Start(x.now, x.now, &table, jobstate.Details{"b": placed}, configuration(0), false))
 	x.list("v", lifetime, false)
@@ -58,6 +63,26 @@
 	assert.Less(t, took, int64(12_600))
 }
 
+// Hosts of earlier versions, whose claims have the fields up to 7, grant leases until their claim
+// has run out. A task of a worker that cannot be reached must not start elsewhere before their end.
+func TestLeaseOfAnEarlierVersionIsAwaited(t *testing.T) {
+	type earlier struct {
+		Host       string `cbor:"1,keyasint"`
+		SoleLeader bool   `cbor:"6,keyasint,omitempty"`
+	}
+	value, err := wire.Encode(&earlier{Host: "old", SoleLeader: true})
+	require.NoError(t, err)
+	x := &exchange{T: t, claim: jobstate.Record{Key: "l", Value: value}}
+	x = succeed(t, coordinator.State{Term: 7, UnboundedLeases: !x.lastClaim().LeasesBounded()})
+	assert.False(t, x.lastClaim().LeasesBounded(), "the next coordinator must await them too")
+	var c earlier
+	require.NoError(t, wire.Decode(x.claim.Value, &c), "an earlier version reads the claim")
+	took := x.waitForStart(30_000)
+	assert.Greater(t, took, int64(18_000))
+	assert.Less(t, took, int64(18_700))
+	assert.True(t, x.lastClaim().LeasesBounded())
+}
+
 // If the claim of the lost coordinator says when the lease ends, that is enough.
 func TestPriorLeaseIsAwaited(t *testing.T) {
 	took := newSuccessor(t, jobstate.WorkerLease{Worker: "w", Left: 4000}).waitForStart(20_000)
--- a/internal/scheduling/coordinator/recorder.go
+++ b/internal/scheduling/coordinator/recorder.go
@@ -103,7 +103,7 @@
 func (s *State) claim(resigning bool) *jobstate.Claim {
 	c := &jobstate.Claim{
 		Host: s.Host, Incarnation: s.Incarnation, Renewal: s.renewals, RenewedTerm: s.Term, SoleLeader: s.predecessorsGone,
-		Leases: s.boundedLeases(s.nextBatch(), resigning),
+		Leases: s.boundedLeases(s.nextBatch(), resigning), BoundedLeases: !s.UnboundedLeases || s.predecessorsGone,
 	}
 	if !s.predecessorsGone {
 		c.Predecessors = s.Predecessors
--- a/internal/scheduling/coordinator/state.go
+++ b/internal/scheduling/coordinator/state.go
@@ -110,6 +110,9 @@
 	// Predecessors holds the earlier coordinators that may still give orders, as far as they
 	// are known. It is recorded with the claim until they are gone.
 	Predecessors []jobstate.Holder
+	// UnboundedLeases is set if leases of an earlier coordinator may outlast the validity of its
+	// claim, by Lease at most: hosts of earlier versions grant such leases.
+	UnboundedLeases bool
 	// PriorLeases holds the leases named by the claim that was in force before.
 	PriorLeases []jobstate.WorkerLease
 
--- a/internal/scheduling/jobstate/record.go
+++ b/internal/scheduling/jobstate/record.go
@@ -43,8 +43,15 @@
 	Resigned bool `cbor:"5,keyasint,omitempty"`
 	// Leases holds the workers with runs whose leases end sooner than any lease may.
 	Leases []WorkerLease `cbor:"8,keyasint,omitempty"`
+	// BoundedLeases is set if no lease of this coordinator and those in Predecessors outlasts
+	// the validity of its claim. Hosts of earlier versions do not set it.
+	BoundedLeases bool `cbor:"9,keyasint,omitempty"`
 }
 
+// LeasesBounded reports whether no lease of the claim's coordinator and earlier ones outlasts
+// the validity of their claims. That holds if there is no claim.
+func (c *Claim) LeasesBounded() bool { return c.Term == 0 || c.BoundedLeases }
+
 // WorkerLease bounds the leases that a worker has from this coordinator and all earlier
 // ones, if the claim that names it is the last one.
 type WorkerLease struct {
