--- a/internal/host/frontend/leader.go
+++ b/internal/host/frontend/leader.go
@@ -108,6 +108,7 @@
 	h.mu.Unlock()
 	r, err := jobstate.ClaimRecord(&jobstate.Claim{
 		Host: h.Name(), Incarnation: h.Incarnation, SoleLeader: known && len(active) == 0, Predecessors: active, Leases: prior.Leases,
+		BoundedLeases: prior.LeasesBounded() || known && len(active) == 0,
 	})
 	if err != nil {
 		h.Logger.Error("claim cannot be written", slog.String("error", err.Error()))
@@ -179,11 +180,11 @@
 	h.mu.Lock()
 	active, known := h.table.ActiveHolders(&prior, h.Name())
 	h.mu.Unlock()
-	l.state.Predecessors, l.state.PriorLeases = active, prior.Leases
+	l.state.Predecessors, l.state.PriorLeases, l.state.UnboundedLeases = active, prior.Leases, !prior.LeasesBounded()
 	if err != nil {
 		h.Logger.Warn("role given back", slog.Uint64("term", term), slog.String("why", err.Error()))
 		h.ineligibleUntil = h.now() + ineligiblePeriod
-		c := l.state.Claim()
+		c := l.state.Resignation()
 		c.SoleLeader, c.Leases = known && len(active) == 0, coordinator.PassOn(prior.Leases, h.now()-claimedAt)
 		l.resign(ctx, c)
 		return
@@ -216,7 +217,7 @@
 	if !voluntary {
 		h.ineligibleUntil = h.now() + ineligiblePeriod
 	}
-	l.resign(context.WithoutCancel(ctx), l.state.Claim())
+	l.resign(context.WithoutCancel(ctx), l.state.Resignation())
 }
 
 // workerLease is how long a worker continues without a lease renewal, in milliseconds.
@@ -429,7 +430,6 @@
 // resign records that the role held under a claim is free, so that another host can claim
 // it at once.
 func (l *leader) resign(ctx context.Context, c *jobstate.Claim) {
-	c.Resigned = true
 	r, err := jobstate.ClaimRecord(c)
 	if err != nil {
 		l.Logger.Error("resignation cannot be written", slog.String("error", err.Error()))
--- a/internal/scheduling/coordinator/state.go
+++ b/internal/scheduling/coordinator/state.go
@@ -110,6 +110,9 @@
 	// Predecessors holds the earlier coordinators that may still give orders, as far as they
 	// are known. It is recorded with the claim until they are gone.
 	Predecessors []jobstate.Holder
+	// UnboundedLeases is set if leases of an earlier coordinator may outlast the validity of its
+	// claim, by Lease at most: hosts of earlier versions grant such leases.
+	UnboundedLeases bool
 	// PriorLeases holds the leases named by the claim that was in force before.
 	PriorLeases []jobstate.WorkerLease
 
@@ -122,7 +125,7 @@
 	predecessorsGone   bool
 	predecessorsGoneAt int64
 	// priorLeases holds PriorLeases by worker ID.
-	priorLeases map[string]int64
+	priorLeases map[string]jobstate.WorkerLease
 	// claimVerifiedAt is when the newest successful append was sent. The append proves
 	// that the role was still held then.
 	claimVerifiedAt int64
@@ -205,9 +208,9 @@
 		s.claimVerifiedAt = now
 	}
 	s.jobs, s.workers = make(map[string]*job), make(map[string]*worker)
-	s.priorLeases = make(map[string]int64)
+	s.priorLeases = make(map[string]jobstate.WorkerLease)
 	for _, l := range s.PriorLeases {
-		s.priorLeases[l.Worker] = l.Left
+		s.priorLeases[l.Worker] = l
 	}
 	if predecessorsGone {
 		s.markPredecessorsGone()
--- a/internal/scheduling/jobstate/record.go
+++ b/internal/scheduling/jobstate/record.go
@@ -43,8 +43,15 @@
 	Resigned bool `cbor:"5,keyasint,omitempty"`
 	// Leases holds the workers with runs whose leases end sooner than any lease may.
 	Leases []WorkerLease `cbor:"8,keyasint,omitempty"`
+	// BoundedLeases is set if no lease of this coordinator and those in Predecessors outlasts
+	// the validity of its claim. Hosts of earlier versions do not set it.
+	BoundedLeases bool `cbor:"9,keyasint,omitempty"`
 }
 
+// LeasesBounded reports whether no lease of the claim's coordinator and earlier ones outlasts
+// the validity of their claims. That holds if there is no claim.
+func (c *Claim) LeasesBounded() bool { return c.Term == 0 || c.BoundedLeases }
+
 // WorkerLease bounds the leases that a worker has from this coordinator and all earlier
 // ones, if the claim that names it is the last one.
 type WorkerLease struct {
@@ -52,6 +59,9 @@
 	// Left is the time after the writing of the claim at which the lease has ended, on the
 	// worker's clock, in milliseconds.
 	Left int64 `cbor:"2,keyasint"`
+	// MaybeUnseen is set if that may be the lease of a lifetime that the coordinator has not
+	// seen, which is bounded by Left alone.
+	MaybeUnseen bool `cbor:"3,keyasint,omitempty"`
 }
 
 // ActiveTerm returns the newest term in which a host may still coordinate according to the
