soak: real processes while workers restart under their IDs, behind cuts, beside late orders

Its workers could only crash, always reachable, with their entries deleted at once; orders were never late, no one lost the coordinator right after an acceptance, and nobody repeated a submission later.

emulator.Link serves a worker of the pool and cuts it off (both ways, or the answers only, or from the directory), executes orders and polls 2 to 12 s late (in the next lifetime too only with -soak.across), restarts it under its ID with its connections closed, lets it leave for another worker at its address, moves it and expires its entry. An entry is kept for 4.5 s of silence, and heartbeats come every 1.5 s, as on the site; a poll ends with the process that it was sent to. The coordinator is found by the claim in the store. -soak.oldBinary runs half of the processes with a program of an earlier version.

TestNothingRunsTwice judges two runs of a task or gang, a start after an acknowledged success, an accepted job that is unknown, and, new, a start more than 1 s after a job was shown as completed.

--- a/internal/scheduling/simulation/cluster.go
+++ b/internal/scheduling/simulation/cluster.go
@@ -54,9 +54,11 @@
 	// startedAt is when the first task started, and endedAt when the end of the job was
 	// recorded; 0 for never.
 	startedAt, endedAt int64
-	state              jobspec.State
-	tasks              map[jobspec.TaskID]*simulatedTask
-	starts             int
+	// shownAt is when the job was first shown as completed; 0 for never.
+	shownAt int64
+	state   jobspec.State
+	tasks   map[jobspec.TaskID]*simulatedTask
+	starts  int
 }
 
 // simulatedTask is the actual state of a task.
--- a/internal/scheduling/simulation/invariants.go
+++ b/internal/scheduling/simulation/invariants.go
@@ -34,6 +34,10 @@
 	return t
 }
 
+// shownGrace is how long after a job was shown as completed orders may still arrive, in
+// milliseconds.
+const shownGrace = 1000
+
 // checkStart checks the invariants that apply to the start of a run, and records the run.
 func (c *Cluster) checkStart(r *run) {
 	j := r.job
@@ -54,6 +58,9 @@
 	if t.acknowledged {
 		c.violationf("%v run %d starts after a success was acknowledged", r.task, r.run)
 	}
+	if j.shownAt != 0 && c.now > j.shownAt+shownGrace {
+		c.violationf("%v run %d starts %d ms after the job was shown as completed", r.task, r.run, c.now-j.shownAt)
+	}
 	if len(t.failures) >= j.spec.MaxAttempts {
 		c.violationf("%v run %d starts after %d failures", r.task, r.run, len(t.failures))
 	}
--- a/internal/scheduling/simulation/workerpool.go
+++ b/internal/scheduling/simulation/workerpool.go
@@ -116,6 +116,22 @@
 	}
 }
 
+// Drain makes a worker drain until its process ends.
+func (p *WorkerPool) Drain(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cluster.worker(id).draining = true
+}
+
+// Shown notes that a job was shown as completed.
+func (p *WorkerPool) Shown(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if j := p.cluster.jobs[id]; j.shownAt == 0 {
+		j.shownAt = p.cluster.now
+	}
+}
+
 // Violations returns the violated invariants.
 func (p *WorkerPool) Violations() []string {
 	p.mu.Lock()
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -26,12 +27,17 @@
 
 // host is an entry host that runs as a separate process.
 type host struct {
-	name, callersAddress, readyAddress, settingsFile string
-	storeProxy                                       *proxy
-	logFile                                          *os.File
+	name, settingsFile string
+	number             int
+	// Both addresses change when a new machine takes the host's place.
+	callersAddress, readyAddress string
+	storeProxy                   *proxy
+	logFile                      *os.File
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
+	// starts counts the processes.
+	starts int
 	// restarting serialises restarts.
 	restarting sync.Mutex
 	// exited holds the exit error of the process once it has ended. Receivers put it
@@ -44,9 +50,14 @@
 type cluster struct {
 	t       *testing.T
 	workers *simulation.WorkerPool
-	store   *emulator.Store
-	hosts   []*host
-	keys    []string
+	links   []*emulator.Link
+	// logDir has the logs: a folder of the test's name in the one that SOAK_LOGS names, if any.
+	logDir string
+	// workerLog has what the workers did; nil unless SOAK_LOGS is set.
+	workerLog *os.File
+	store     *emulator.Store
+	hosts     []*host
+	keys      []string
 
 	mu      sync.Mutex
 	version int
@@ -54,26 +65,42 @@
 	revokedAt map[string]time.Time
 }
 
+// heartbeat is the time between two entries of a worker in the directory.
+const heartbeat = 1500 * time.Millisecond
+
 // hostSettings are the settings that all hosts share.
 const hostSettings = "limits.memory_mb=284\nbounds.status_s=600\nbounds.revoke_timeout_ms=5000\nbounds.gang_ms=3000\nbounds.remote_factor=3\n"
 
 func newCluster(t *testing.T, p simulation.Scenario, hosts int) *cluster {
-	c := &cluster{
-		t: t, store: &emulator.Store{}, workers: simulation.NewWorkerPool(p),
-		keys: []string{"key-a", "key-b", "key-c"}, revokedAt: make(map[string]time.Time),
+	c := &cluster{t: t, store: &emulator.Store{}, keys: []string{"key-a", "key-b", "key-c"}, revokedAt: make(map[string]time.Time)}
+	dir := t.TempDir()
+	c.logDir = dir
+	if logs := os.Getenv("SOAK_LOGS"); logs != "" {
+		c.logDir = filepath.Join(logs, t.Name())
+		require.NoError(t, os.MkdirAll(c.logDir, 0o750))
+		var err error
+		c.workerLog, err = os.Create(filepath.Join(c.logDir, "workers.log"))
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.workerLog.Close() })
 	}
+	p.Trace = c.trace
+	c.workers = simulation.NewWorkerPool(p)
 	store := httptest.NewServer(c.store.Handler())
 	t.Cleanup(store.Close)
 	c.publishConfiguration()
-	for _, id := range c.workers.IDs() {
-		s := httptest.NewServer(emulator.WorkerHandler(c.workers, id))
-		t.Cleanup(s.Close)
-		c.publishWorker(id, s.Listener.Addr().String())
+	for i, id := range c.workers.IDs() {
+		l := emulator.NewLink(c.workers, id, p.Seed+uint64(i)<<32, c.trace)
+		t.Cleanup(l.Close)
+		c.links = append(c.links, l)
+		c.runEvery(heartbeat, func(int) {
+			if err := l.Heartbeat(c.store); err != nil {
+				t.Error(err)
+			}
+		})
 	}
 	c.runEvery(5*time.Millisecond, func(int) { c.workers.Advance() })
-	dir := t.TempDir()
 	for i := range hosts {
-		c.addHost(dir, i, store.Listener.Addr().String(), hostSettings)
+		c.addHost(dir, i, store.Listener.Addr().String())
 	}
 	return c
 }
@@ -101,23 +128,26 @@
 	})
 }
 
-// publishWorker writes a worker's directory entry every 500 ms, and deletes it
-// while the worker is down.
-func (c *cluster) publishWorker(id, address string) {
-	c.runEvery(500*time.Millisecond, func(n int) {
-		l, up := c.workers.Listing(id)
-		if !up {
-			c.store.Put(platform.TopicWorkers, id, nil)
-			return
-		}
-		l.Address = address
-		b, err := emulator.DirectoryEntry(l, n)
-		if err != nil {
-			c.t.Error(err)
-			return
+// trace writes a line to the log of the workers.
+func (c *cluster) trace(line string) {
+	if c.workerLog != nil {
+		// Lines arrive from several goroutines; each is one write.
+		_, _ = fmt.Fprintf(c.workerLog, "%s %s\n", time.Now().UTC().Format("15:04:05.000"), line)
+	}
+}
+
+// coordinator returns the host that the newest claim in the store names, or nil.
+func (c *cluster) coordinator() *host {
+	claim := c.store.Newest(platform.TopicJobs, "l")
+	var found *host
+	first := len(claim)
+	for _, h := range c.hosts {
+		// The holder stands before its predecessors.
+		if i := bytes.Index(claim, []byte(h.name)); i >= 0 && i < first {
+			found, first = h, i
 		}
-		c.store.Put(platform.TopicWorkers, id, b)
-	})
+	}
+	return found
 }
 
 // publishConfiguration writes the next version of the configuration, with the API
@@ -194,23 +224,16 @@
 }
 
 // addHost writes the settings of an entry host and starts it. The host reaches the
-// store through a proxy of its own. Its log goes to the directory in SOAK_LOGS when
-// that is set.
-func (c *cluster) addHost(dir string, n int, storeAddress, settings string) {
+// store through a proxy of its own.
+func (c *cluster) addHost(dir string, n int, storeAddress string) {
 	p, err := newProxy(storeAddress)
 	require.NoError(c.t, err)
 	h := &host{
-		name: fmt.Sprint("front-", n), callersAddress: freeAddress(c.t, n), readyAddress: freeAddress(c.t, n), storeProxy: p,
+		name: fmt.Sprint("front-", n), number: n, callersAddress: freeAddress(c.t, n), readyAddress: freeAddress(c.t, n), storeProxy: p,
 		settingsFile: filepath.Join(dir, fmt.Sprint("node", n, ".conf")),
 	}
-	text := fmt.Sprintf("node=%s\nzone=dc\nregion=r\nlisten_addrs.front=%s\nlisten_addrs.ready=%s\nplatform.address=%s\n",
-		h.name, h.callersAddress, h.readyAddress, p.address()) + settings
-	require.NoError(c.t, os.WriteFile(h.settingsFile, []byte(text), 0o600))
-	logDir := os.Getenv("SOAK_LOGS")
-	if logDir == "" {
-		logDir = dir
-	}
-	h.logFile, err = os.Create(filepath.Join(logDir, h.name+".log"))
+	require.NoError(c.t, h.writeSettings(h.name))
+	h.logFile, err = os.Create(filepath.Join(c.logDir, h.name+".log"))
 	require.NoError(c.t, err)
 	c.hosts = append(c.hosts, h)
 	require.NoError(c.t, h.start())
@@ -222,11 +245,49 @@
 	})
 }
 
+// writeSettings writes the settings of the host as the machine of that name.
+func (h *host) writeSettings(name string) error {
+	text := fmt.Sprintf("node=%s\nzone=dc\nregion=r\nlisten_addrs.front=%s\nlisten_addrs.ready=%s\nplatform.address=%s\n",
+		name, h.callersAddress, h.readyAddress, h.storeProxy.address()) + hostSettings
+	return os.WriteFile(h.settingsFile, []byte(text), 0o600)
+}
+
+// replace kills the process for good. After d a machine of another name takes its place at
+// other addresses.
+func (h *host) replace(t *testing.T, d time.Duration) {
+	h.restarting.Lock()
+	defer h.restarting.Unlock()
+	h.stop(syscall.SIGKILL)
+	time.Sleep(d)
+	h.mu.Lock()
+	h.callersAddress, h.readyAddress = freeAddress(t, h.number), freeAddress(t, h.number)
+	err := h.writeSettings(fmt.Sprint(h.name, "-", h.starts))
+	h.mu.Unlock()
+	if err == nil {
+		err = h.start()
+	}
+	if err != nil {
+		t.Errorf("%s is not replaced: %v", h.name, err)
+	}
+}
+
+// callers returns the address for callers.
+func (h *host) callers() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.callersAddress
+}
+
 // start starts a new process of the host.
 func (h *host) start() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.cmd = exec.Command(binary, "front", "--settings", h.settingsFile)
+	program := binary
+	// The hosts of the other version are every second one, and change with each restart.
+	if h.starts++; *oldFlag != "" && (h.number+h.starts)%2 == 0 {
+		program = *oldFlag
+	}
+	h.cmd = exec.Command(program, "front", "--settings", h.settingsFile)
 	h.cmd.Stdout, h.cmd.Stderr = h.logFile, h.logFile
 	if err := h.cmd.Start(); err != nil {
 		return err
--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -53,10 +53,12 @@
 	jobs           []*submittedJob
 	violations     []string
 	responseCounts map[string]int
+	// accepted is closed, and replaced, when a job is accepted.
+	accepted chan struct{}
 }
 
 func newLoadGenerator(c *cluster, seed uint64) *loadGenerator {
-	return &loadGenerator{cluster: c, seed: seed, responseCounts: make(map[string]int)}
+	return &loadGenerator{cluster: c, seed: seed, responseCounts: make(map[string]int), accepted: make(chan struct{})}
 }
 
 func (l *loadGenerator) violationf(format string, args ...any) {
@@ -71,6 +73,26 @@
 	return append([]string(nil), l.violations...)
 }
 
+// accept notes that a host has accepted a job.
+func (l *loadGenerator) accept(j *submittedJob) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	j.acceptedAt = time.Now()
+	close(l.accepted)
+	l.accepted = make(chan struct{})
+}
+
+// awaitAcceptance waits until a job is accepted, at most for d.
+func (l *loadGenerator) awaitAcceptance(d time.Duration) {
+	l.mu.Lock()
+	accepted := l.accepted
+	l.mu.Unlock()
+	select {
+	case <-accepted:
+	case <-time.After(d):
+	}
+}
+
 // runClient submits and cancels jobs and queries their states until stop is closed.
 // It reuses its connections.
 func (l *loadGenerator) runClient(n int, stop chan struct{}) {
@@ -106,7 +128,7 @@
 // complete response.
 func (l *loadGenerator) call(c *http.Client, r *rand.Rand, method string, j *submittedJob, body string) (int, []byte) {
 	h := l.cluster.hosts[r.IntN(len(l.cluster.hosts))]
-	req, err := http.NewRequest(method, "http://"+h.callersAddress+j.prefix+j.id, strings.NewReader(body))
+	req, err := http.NewRequest(method, "http://"+h.callers()+j.prefix+j.id, strings.NewReader(body))
 	if err != nil {
 		l.violationf("cannot create a request: %v", err)
 		return 0, nil
@@ -159,9 +181,7 @@
 	for range maxSubmitAttempts {
 		switch status, _ := l.call(c, r, http.MethodPost, j, body); status {
 		case http.StatusOK:
-			l.mu.Lock()
-			j.acceptedAt = time.Now()
-			l.mu.Unlock()
+			l.accept(j)
 			return j
 		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 			time.Sleep(300 * time.Millisecond)
@@ -200,6 +220,9 @@
 			return
 		}
 		j.lastState = s.State
+		if s.State == "completed" {
+			l.cluster.workers.Shown(j.id)
+		}
 		_, succeeded := l.cluster.workers.Starts(j.id)
 		if s.State == "completed" && !succeeded {
 			l.violationf("job %s is reported as completed but is not", j.id)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -24,6 +24,8 @@
 	seedsFlag    = flag.Int("soak.seeds", 1, "number of consecutive seeds, starting at soak.seed")
 	durationFlag = flag.Duration("soak.for", 12*time.Second, "duration of fault injection per seed")
 	hostsFlag    = flag.Int("soak.hosts", 4, "number of entry hosts")
+	oldFlag      = flag.String("soak.oldBinary", "", "program of an earlier version, which half of the processes run")
+	acrossFlag   = flag.Bool("soak.across", false, "late orders are executed in the next lifetime of a worker too")
 	workersFlag  = flag.Int("soak.workers", 12, "number of workers")
 )
 
--- a/soak/stranded_test.go
+++ b/soak/stranded_test.go
@@ -40,6 +40,8 @@
 	gang                  bool
 	// sameRack, checkpoints and label are the shares of the jobs with these properties.
 	sameRack, checkpoints, label float64
+	// second is the share of the jobs with a second step after the first.
+	second float64
 }
 
 // classes fill about five sixths of the accelerators. They are those of the users' largest pool,
@@ -86,25 +88,34 @@
 	if r.Float64() < c.label {
 		step.Label = "a"
 	}
-	return jobspec.Spec{ID: id, MaxAttempts: 4, Steps: []jobspec.Step{step}}, int64(duration)
+	spec := jobspec.Spec{ID: id, MaxAttempts: 4, Steps: []jobspec.Step{step}}
+	if c.second > 0 && r.Float64() < c.second {
+		step.After = []int{0}
+		spec.Steps = append(spec.Steps, step)
+	}
+	return spec, int64(duration)
 }
 
 // body encodes a job.
 func body(s *jobspec.Spec) string {
-	step := &s.Steps[0]
-	b, err := json.Marshal(map[string]any{"spec": "x", "steps": []map[string]any{{
-		"count": step.Tasks, "cpu": step.Need.Cores, "mem_mb": step.Need.Memory, "gpu": step.Need.Accelerators, "est_ms": step.Estimate,
-		"gang": step.Gang, "colocated": step.SameRack, "saves_progress": step.Checkpoints, "needs": step.Label,
-	}}})
+	var steps []map[string]any
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		steps = append(steps, map[string]any{
+			"count": step.Tasks, "cpu": step.Need.Cores, "mem_mb": step.Need.Memory, "gpu": step.Need.Accelerators, "est_ms": step.Estimate,
+			"gang": step.Gang, "colocated": step.SameRack, "saves_progress": step.Checkpoints, "needs": step.Label, "after": step.After,
+		})
+	}
+	b, err := json.Marshal(map[string]any{"spec": "x", "steps": steps})
 	if err != nil {
 		panic(err)
 	}
 	return string(b)
 }
 
-// submitClass submits jobs of a class at random times until stop is closed.
-func (l *loadGenerator) submitClass(n int, stop chan struct{}) {
-	c := &classes[n]
+// submitClass submits jobs of a class at random times until stop is closed. Of those that were
+// accepted, the share repeats is submitted again later.
+func (l *loadGenerator) submitClass(n int, c *jobClass, repeats float64, stop chan struct{}) {
 	r := rand.New(rand.NewPCG(l.seed, uint64(100+n)))
 	workers := len(l.cluster.workers.IDs())
 	var wg sync.WaitGroup
@@ -130,12 +141,15 @@
 			client := &http.Client{Timeout: callerTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 			callers := rand.New(rand.NewPCG(seed, 1))
 			for range maxSubmitAttempts {
-				if status, _ := l.call(client, callers, http.MethodPost, j, text); status == http.StatusOK {
-					l.mu.Lock()
-					j.acceptedAt = time.Now()
-					l.mu.Unlock()
+				status, _ := l.call(client, callers, http.MethodPost, j, text)
+				if status == http.StatusOK {
+					l.accept(j)
+					if callers.Float64() < repeats {
+						l.repeat(callers, j, text)
+					}
 					return
 				}
+				j.outcomeUnknown = j.outcomeUnknown || status == 0 || status == http.StatusGatewayTimeout
 				time.Sleep(300 * time.Millisecond)
 			}
 		})
@@ -198,7 +212,7 @@
 	var wg, watch sync.WaitGroup
 	watch.Go(func() { load.watchStranded(stopWatch) })
 	for n := range classes {
-		wg.Go(func() { load.submitClass(n, stop) })
+		wg.Go(func() { load.submitClass(n, &classes[n], 0, stop) })
 	}
 	time.Sleep(*durationFlag)
 	close(stop)
--- a/standin/emulator/workers.go
+++ b/standin/emulator/workers.go
@@ -38,11 +38,12 @@
 	placement.Fenced: "fence", placement.Superseded: "old", placement.LeaseExpired: "late", placement.NoCapacity: "room", placement.NoTicket: "ticket",
 }
 
-// WorkerHandler returns the HTTP handler of the worker of pool with the given ID.
-func WorkerHandler(pool *simulation.WorkerPool, id string) http.Handler {
+// workerHandler returns the HTTP handler of the worker of pool with the given ID. name returns
+// the ID under which the worker registers.
+func workerHandler(pool *simulation.WorkerPool, id string, name func() string) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run-start", func(w http.ResponseWriter, r *http.Request) {
-		b, ok := readOrder(w, r, id)
+		b, ok := readOrder(w, r, name())
 		if !ok {
 			return
 		}
@@ -57,7 +58,7 @@
 		writeReply(w, up, a, workerResponse{Clock: a.Clock})
 	})
 	mux.HandleFunc("POST /run-stop", func(w http.ResponseWriter, r *http.Request) {
-		b, ok := readOrder(w, r, id)
+		b, ok := readOrder(w, r, name())
 		if !ok {
 			return
 		}
@@ -70,16 +71,22 @@
 		writeReply(w, up, a, workerResponse{Clock: a.Clock})
 	})
 	mux.HandleFunc("POST /hold", func(w http.ResponseWriter, r *http.Request) {
-		b, ok := readOrder(w, r, id)
+		b, ok := readOrder(w, r, name())
 		if !ok {
 			return
 		}
 		poll := &placement.Poll{Token: b.Token, Lease: b.Lease, AckedEnd: b.AckedEnd}
 		until := time.Now().Add(time.Duration(b.Wait) * time.Millisecond)
 		a, up := pool.Poll(id, poll)
+		lifetime := a.Lifetime
 		for up && a.Verdict == placement.Executed && len(a.Ended) == 0 && time.Now().Before(until) && r.Context().Err() == nil {
 			time.Sleep(pollCheckInterval)
 			poll.Lease = 0 // Only the first check renews the lease.
+			// A poll ends with the process that it was sent to.
+			if l, _ := pool.Listing(id); l.Lifetime != lifetime {
+				up = false
+				break
+			}
 			a, up = pool.Poll(id, poll)
 		}
 		out := workerResponse{Clock: a.Clock, Lifetime: a.Lifetime}
@@ -129,10 +136,14 @@
 	if l.Draining {
 		state = "draining"
 	}
-	return json.Marshal(map[string]any{
+	entry := map[string]any{
 		"service": l.Service, "address": l.Address, "zone": "dc", "state": state, "labels": l.Labels, "born": l.Lifetime,
 		"sequence": sequence, "free_capacity": map[string]int64{
 			"cpu": l.Capacity.Cores, "mem_mb": l.Capacity.Memory, "gpu": l.Capacity.Accelerators,
 		},
-	})
+	}
+	if l.Draining {
+		entry["remaining_ms"] = l.Remaining
+	}
+	return json.Marshal(entry)
 }
