soak: a worker that restarts unseen, executes a repeated start and falls silent

Link.RestartUnseen loses the answers, restarts the process once a start order has arrived, and cuts the worker off once the next process has executed a start. Connections end visibly only where answers arrive. -soak.kind injects one kind of fault only.

--- a/soak/once_test.go
+++ b/soak/once_test.go
@@ -106,6 +106,9 @@
 		if r.IntN(5) == 0 {
 			f.kind = 9 + r.IntN(7)
 		}
+		if *kindFlag >= 0 {
+			f.kind = *kindFlag
+		}
 		faults.Go(func() { c.injectOnce(f, load) })
 	}
 	faults.Wait()
@@ -139,7 +142,7 @@
 }
 
 // injectOnce injects one fault and ends it: restarts of a worker under its ID (0-2), with a cut
-// in 1 and 2; cuts (3-5), draining (6), expired entries (7), moves (8); losses (9-12) and
+// in 1, and unseen in 2; cuts (3-5), draining (6), expired entries (7), moves (8); losses (9-12) and
 // standstills (13) of hosts, and faults of the store (14, 15).
 func (c *cluster) injectOnce(f onceFault, load *loadGenerator) {
 	down, cut := f.between(200*time.Millisecond, 3*time.Second), f.between(time.Second, 12*time.Second)
@@ -153,9 +156,7 @@
 	case 1:
 		f.restartWithin(kind, cut, time.Duration(float64(cut)*f.chance/2), down)
 	case 2:
-		// Orders that were under way when the answers stopped are repeated to the new process.
-		cut = f.between(7*time.Second, 12*time.Second)
-		f.restartWithin(emulator.CutAnswers, cut, time.Duration(f.chance*float64(1500*time.Millisecond)), down/5)
+		f.link.RestartUnseen(down/5, f.between(7*time.Second, 12*time.Second))
 	case 3, 4, 5:
 		f.link.Cut(kind, cut)
 	case 6:
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,6 +26,7 @@
 	hostsFlag    = flag.Int("soak.hosts", 4, "number of entry hosts")
 	oldFlag      = flag.String("soak.oldBinary", "", "program of an earlier version, which half of the processes run")
 	acrossFlag   = flag.Bool("soak.across", false, "late orders are executed in the next lifetime of a worker too")
+	kindFlag     = flag.Int("soak.kind", -1, "the only kind of fault that TestNothingRunsTwice injects; -1 for all")
 	workersFlag  = flag.Int("soak.workers", 12, "number of workers")
 )
 
--- a/standin/emulator/link.go
+++ b/standin/emulator/link.go
@@ -54,7 +54,9 @@
 	// heardAt is when the last heartbeat left, and sequence counts heartbeats.
 	heardAt  time.Time
 	sequence int
-	wg       sync.WaitGroup
+	// startCount counts the start orders that the worker has received.
+	startCount int
+	wg         sync.WaitGroup
 }
 
 // entryLifetime is the time without heartbeats after which the directory drops an entry.
@@ -107,11 +109,46 @@
 	l.late = late
 }
 
-// Restart ends the worker's process, which starts again under its ID after d.
+// Restart ends the worker's process, which starts again under its ID after d. Callers see their
+// connections end unless answers are lost.
 func (l *Link) Restart(d time.Duration) {
 	l.tracef("restarts in %v", d)
 	l.pool.Crash(l.worker, d)
-	l.current().CloseClientConnections()
+	if !l.answersLost() {
+		l.current().CloseClientConnections()
+	}
+}
+
+// RestartUnseen loses all answers, restarts the process after a start order has arrived, and cuts
+// the worker off for d once the next process has executed one.
+func (l *Link) RestartUnseen(down, d time.Duration) {
+	l.addCut(CutAnswers, 1)
+	defer l.addCut(CutAnswers, -1)
+	if !l.awaitStart(startTimeout) {
+		return
+	}
+	l.Restart(down)
+	if l.awaitStart(down + startTimeout) {
+		l.Cut(CutBoth, d)
+	}
+}
+
+// startTimeout is how long RestartUnseen waits for a start order.
+const startTimeout = 3 * time.Second
+
+// awaitStart waits until the worker receives a start order, and reports false after d.
+func (l *Link) awaitStart(d time.Duration) bool {
+	count := func() int {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.startCount
+	}
+	for first, end := count(), time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if count() > first {
+			return true
+		}
+	}
+	return false
 }
 
 // Leave ends the worker's process for good. A worker with another ID takes its address after d.
@@ -231,10 +268,11 @@
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
-	answer := httptest.NewRecorder()
-	l.handler.ServeHTTP(answer, r)
+	answer, ok := l.execute(r)
 	if l.answersLost() {
 		<-r.Context().Done()
+	}
+	if !ok || r.Context().Err() != nil {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", answer.Header().Get("Content-Type"))
@@ -243,6 +281,25 @@
 	_, _ = w.Write(answer.Body.Bytes())
 }
 
+// execute passes a call to the worker. It reports false when the worker is down.
+func (l *Link) execute(r *http.Request) (answer *httptest.ResponseRecorder, ok bool) {
+	defer func() {
+		if e := recover(); e != nil {
+			if err, _ := e.(error); !errors.Is(err, http.ErrAbortHandler) {
+				panic(e)
+			}
+		}
+	}()
+	answer = httptest.NewRecorder()
+	l.handler.ServeHTTP(answer, r)
+	if r.URL.Path == "/run-start" {
+		l.mu.Lock()
+		l.startCount++
+		l.mu.Unlock()
+	}
+	return answer, true
+}
+
 // executeLate executes a call after d, in the lifetime in which it arrived unless acrossRestarts.
 func (l *Link) executeLate(r *http.Request, body []byte, d time.Duration, acrossRestarts bool) {
 	sentTo, _ := l.pool.Listing(l.worker)
@@ -257,14 +314,10 @@
 		if !up || now.Lifetime != sentTo.Lifetime && !acrossRestarts {
 			return
 		}
-		defer func() {
-			// The worker may go down in between.
-			if e, _ := recover().(error); e != nil && !errors.Is(e, http.ErrAbortHandler) {
-				panic(e)
-			}
-		}()
-		answer := httptest.NewRecorder()
-		l.handler.ServeHTTP(answer, late)
+		answer, ok := l.execute(late)
+		if !ok {
+			return
+		}
 		l.tracef("executed %v late, other lifetime %v: %s %s: %d", d, now.Lifetime != sentTo.Lifetime, r.URL.Path, body, answer.Code)
 	})
 }
