coordinator: repeat no start on a worker that is about to leave

A subtask could start on a draining worker seconds after its notice (DRAIN), be lost with it and start again: a start that was not answered was repeated, and a successor started what it found placed there and not running, whatever the worker had announced since.

Such a run is now stopped, or counts as refused if no order can have been executed, and its task is placed elsewhere. TestNoStartIsRepeatedOnALeavingWorker was red before: 'should have 1 item(s), but has 2', and 'expected: v, actual: w' for the successor.

--- a/internal/scheduling/coordinator/attempt.go
+++ b/internal/scheduling/coordinator/attempt.go
@@ -323,7 +323,7 @@
 			a.phase = phaseUnconfirmed
 			return
 		}
-		if a.startOrders < s.MaxStartOrders && !a.aborted && a.lifetime == a.w.currentLifetime {
+		if a.startOrders < s.MaxStartOrders && !a.aborted && !a.w.Draining && a.lifetime == a.w.currentLifetime {
 			s.sendStart(a)
 			return
 		}
--- a/internal/scheduling/coordinator/presumed_test.go
+++ b/internal/scheduling/coordinator/presumed_test.go
@@ -691,3 +691,30 @@
 	assert.Greater(t, took, x.state.MaxLease)
 	assert.Less(t, took, int64(12_000))
 }
+
+// A start that a worker has not executed must not be sent again once the worker is about to leave,
+// neither by its coordinator nor by a successor.
+func TestNoStartIsRepeatedOnALeavingWorker(t *testing.T) {
+	x := newExchange(t)
+	x.list("w", lifetime, false)
+	x.answerPolls("w", lifetime)
+	x.submit()
+	x.list("w", lifetime, true)
+	x.unanswerStart()
+	x.wait(500)
+	assert.Len(t, x.starts, 1)
+	assert.NotEmpty(t, x.stops)
+
+	x = newSuccessor(t)
+	x.list("w", lifetime, true)
+	x.answerPolls("v", lifetime)
+	for range 10 {
+		x.answerPolls("w", lifetime)
+		x.answerStops("w", x.now-lifetime)
+		x.wait(50)
+	}
+	for _, s := range x.starts {
+		assert.Equal(t, "v", s.Target.ID)
+	}
+	assert.NotEmpty(t, x.starts, "the task starts elsewhere")
+}
--- a/internal/scheduling/coordinator/worker.go
+++ b/internal/scheduling/coordinator/worker.go
@@ -373,6 +373,8 @@
 		s.presumeEnded(a, "its worker has restarted")
 	case a.aborted:
 		s.stop(a, "its gang cannot complete")
+	case a.w.Draining:
+		s.abortUnit(a.unit, "its worker is about to leave")
 	case s.soleLeader() && !s.mustEndLease(a.w) && !a.job.hasOrphan(a.unit):
 		s.sendStart(a)
 	}
