soak: a coordinator without the store keeps workers that its successor cannot reach

CutNewer keeps the orders of newer coordinators from a worker, by the fencing token; fault 16 combines it, for a quarter of the workers, with a coordinator that is cut off from the store for 10 to 20 s.

--- a/soak/once_test.go
+++ b/soak/once_test.go
@@ -104,11 +104,15 @@
 		f := onceFault{kind: r.IntN(9), length: r.Float64(), link: c.links[r.IntN(len(c.links))], host: c.hosts[r.IntN(len(c.hosts))], chance: r.Float64()}
 		f.worker = f.link.Worker()
 		if r.IntN(5) == 0 {
-			f.kind = 9 + r.IntN(7)
+			f.kind = 9 + r.IntN(8)
 		}
 		if *kindFlag >= 0 {
 			f.kind = *kindFlag
 		}
+		if *kindFlag > 8 {
+			// Hosts fail one at a time.
+			time.Sleep(3 * time.Second)
+		}
 		faults.Go(func() { c.injectOnce(f, load) })
 	}
 	faults.Wait()
@@ -143,7 +147,8 @@
 
 // injectOnce injects one fault and ends it: restarts of a worker under its ID (0-2), with a cut
 // in 1, and unseen in 2; cuts (3-5), draining (6), expired entries (7), moves (8); losses (9-12) and
-// standstills (13) of hosts, and faults of the store (14, 15).
+// standstills (13) of hosts, and faults of the store (14, 15) and of the coordinator's way to
+// it (16).
 func (c *cluster) injectOnce(f onceFault, load *loadGenerator) {
 	down, cut := f.between(200*time.Millisecond, 3*time.Second), f.between(time.Second, 12*time.Second)
 	kind := emulator.CutBoth
@@ -208,6 +213,19 @@
 		h.restart(syscall.SIGKILL, down)
 	case 12:
 		h.replace(c.t, down)
+	case 16:
+		// The coordinator reaches some workers but not the store, and its successor cannot
+		// reach these.
+		cut := f.between(10*time.Second, 20*time.Second)
+		var wg sync.WaitGroup
+		for i, l := range c.links {
+			if i%4 == int(4*f.chance) {
+				wg.Go(func() { l.Cut(emulator.CutNewer, cut) })
+			}
+		}
+		h.storeProxy.setMode(dropAll)
+		wg.Wait()
+		h.storeProxy.setMode(passThrough)
 	case 13:
 		h.signal(syscall.SIGSTOP)
 		time.Sleep(f.between(time.Second, 6*time.Second))
--- a/standin/emulator/link.go
+++ b/standin/emulator/link.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -27,6 +28,9 @@
 	CutAnswers
 	// CutDirectory keeps the worker's heartbeats from the directory.
 	CutDirectory
+	// CutNewer loses orders and answers of coordinators that are newer than the newest one
+	// that the worker had heard when the cut began.
+	CutNewer
 	cutCount
 )
 
@@ -56,7 +60,10 @@
 	sequence int
 	// startCount counts the start orders that the worker has received.
 	startCount int
-	wg         sync.WaitGroup
+	// token is the highest fencing token that has arrived, and cutToken what it was when
+	// CutNewer began.
+	token, cutToken uint64
+	wg              sync.WaitGroup
 }
 
 // entryLifetime is the time without heartbeats after which the directory drops an entry.
@@ -99,6 +106,9 @@
 func (l *Link) addCut(kind Cut, n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if kind == CutNewer && n > 0 && l.cuts[kind] == 0 {
+		l.cutToken = l.token
+	}
 	l.cuts[kind] += n
 }
 
@@ -238,7 +248,7 @@
 }
 
 // draw returns whether a call arrives, and by how much its execution is late.
-func (l *Link) draw(path string) (arrives bool, late time.Duration, acrossRestarts bool) {
+func (l *Link) draw(path string, token uint64) (arrives bool, late time.Duration, acrossRestarts bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	share := l.late.Share
@@ -248,7 +258,11 @@
 	if l.rand.Float64() < share {
 		late = l.late.Min + time.Duration(l.rand.Int64N(int64(l.late.Max-l.late.Min)+1))
 	}
-	return l.cuts[CutBoth] == 0, late, l.late.AcrossRestarts
+	arrives = l.cuts[CutBoth] == 0 && (l.cuts[CutNewer] == 0 || token <= l.cutToken)
+	if arrives {
+		l.token = max(l.token, token)
+	}
+	return arrives, late, l.late.AcrossRestarts
 }
 
 // ServeHTTP serves a call to the worker.
@@ -258,7 +272,10 @@
 		return
 	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
-	arrives, late, acrossRestarts := l.draw(r.URL.Path)
+	var order orderBody
+	// What cannot be decoded is refused by the worker.
+	_ = json.Unmarshal(body, &order)
+	arrives, late, acrossRestarts := l.draw(r.URL.Path, order.Token)
 	switch {
 	case !arrives:
 		<-r.Context().Done()
