coordinator: await a restart that only a predecessor saw

The lease of a lifetime that has answered once is now taken to end no sooner than the longest lease after the time in which it may have executed such an order, 12 s from its begin. Workers that are older are awaited as before.

TestRestartSeenByAPredecessorIsAwaited was red before: '7300 is not greater than 11000'.

--- a/internal/scheduling/coordinator/lease.go
+++ b/internal/scheduling/coordinator/lease.go
@@ -96,6 +96,10 @@
 	case w.clockAt == 0 && w.previousLifetime == 0:
 		// An earlier coordinator may have granted a lease until now.
 		w.extendLease(clock + s.Lease)
+		if len(w.attempts) > 0 {
+			// While it was young, the lifetime may have executed an order for the one before.
+			w.extendLease(min(clock, lateExecution) + s.MaxLease)
+		}
 		if w.restartedSincePlaced() {
 			w.extendLease(clock + s.MaxLease)
 		}
--- a/internal/scheduling/coordinator/presumed_test.go
+++ b/internal/scheduling/coordinator/presumed_test.go
@@ -692,6 +692,35 @@
 	assert.Less(t, took, int64(12_000))
 }
 
+// A predecessor may have placed a run in the lifetime that it saw begin, and an order of before may
+// have given that lifetime the longest lease. One answer must not make the successor await less.
+func TestRestartSeenByAPredecessorIsAwaited(t *testing.T) {
+	x := newSuccessor(t)
+	restart := x.now - 500
+	require.EqualValues(t, lifetime, restart)
+	x.list("w", restart, false)
+	x.wait(50)
+	x.answerPolls("w", restart, placement.Run{Task: jobspec.TaskID{Job: "b"}, Run: 1})
+	x.waitForStart()
+	assert.Greater(t, x.now, restart+500+x.state.MaxLease)
+}
+
+// A coordinator that is killed leaves no word of its last starts. Its successor, which knows that it
+// is gone, must still await the lease of a worker that restarted unseen and executed one.
+func TestKilledCoordinatorsUnseenRestartIsAwaited(t *testing.T) {
+	w := []string{"w000"}
+	c := simulation.New(simulation.Scenario{
+		Workers: 2, Configuration: configuration(0), Jobs: []simulation.Arrival{{At: 3000, Spec: batch("b", 1, 30_000)}},
+		Faults: []simulation.Fault{
+			{At: 3000, Duration: 30_000, Kind: simulation.AnswersLost, Workers: w},
+			{At: 3003, Duration: 2, Kind: simulation.Reborn, Workers: w},
+			{At: 3060, Duration: 1500, Kind: simulation.Replace},
+		},
+	})
+	c.RunUntilEnded(40_000)
+	assert.Empty(t, c.Violations)
+}
+
 // A start that a worker has not executed must not be sent again once the worker is about to leave,
 // neither by its coordinator nor by a successor.
 func TestNoStartIsRepeatedOnALeavingWorker(t *testing.T) {
