coordinator: claims name the workers with longer leases

Each claim now names the workers with starts that no list of runs accounts for, and those whose leases are longer after a restart that was seen. A placement is recorded together with a claim, so that the names are in the store before the start. A successor awaits the longest lease for these workers, and for all after a coordinator of an earlier version.

TestKilledCoordinatorsLongLeaseIsAwaited was red before: 'run 2 starts on w001 while run 1 is running on w000' in both cases.

--- a/internal/host/frontend/leader.go
+++ b/internal/host/frontend/leader.go
@@ -108,7 +108,7 @@
 	h.mu.Unlock()
 	r, err := jobstate.ClaimRecord(&jobstate.Claim{
 		Host: h.Name(), Incarnation: h.Incarnation, SoleLeader: known && len(active) == 0, Predecessors: active, Leases: prior.Leases,
-		BoundedLeases: prior.LeasesBounded() || known && len(active) == 0,
+		BoundedLeases: prior.LeasesBounded() || known && len(active) == 0, LongLeases: prior.LongLeases,
 	})
 	if err != nil {
 		h.Logger.Error("claim cannot be written", slog.String("error", err.Error()))
@@ -181,11 +181,13 @@
 	active, known := h.table.ActiveHolders(&prior, h.Name())
 	h.mu.Unlock()
 	l.state.Predecessors, l.state.PriorLeases, l.state.UnboundedLeases = active, prior.Leases, !prior.LeasesBounded()
+	l.state.PriorLongLeases = prior.LongLeases
 	if err != nil {
 		h.Logger.Warn("role given back", slog.Uint64("term", term), slog.String("why", err.Error()))
 		h.ineligibleUntil = h.now() + ineligiblePeriod
 		c := l.state.Resignation()
 		c.SoleLeader, c.Leases = known && len(active) == 0, coordinator.PassOn(prior.Leases, h.now()-claimedAt)
+		c.LongLeases = prior.LongLeases
 		l.resign(ctx, c)
 		return
 	}
--- a/internal/scheduling/coordinator/lease.go
+++ b/internal/scheduling/coordinator/lease.go
@@ -1,6 +1,10 @@
 package coordinator
 
-import "github.com/limpetrelay/limpetrelay/internal/scheduling/jobstate"
+import (
+	"slices"
+
+	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobstate"
+)
 
 const (
 	// drainLease is the length of the leases of a worker that is about to leave, in
@@ -155,7 +159,11 @@
 			left = min(left, prior.Left-sinceAcquired)
 		}
 		if s.predecessorsGone {
-			left = min(left, s.Lease-scaleElapsed(s.now-s.predecessorsGoneAt))
+			lease := s.Lease
+			if s.UnboundedLeases || slices.Contains(s.PriorLongLeases, w.ID) {
+				lease = max(lease, s.MaxLease+orderRetryInterval)
+			}
+			left = min(left, lease-scaleElapsed(s.now-s.predecessorsGoneAt))
 		}
 		return left + leaseMargin
 	}
@@ -175,6 +183,28 @@
 	return max(left, s.MaxLease+leaseMargin+max(0, executed-s.now)-scaleElapsed(max(0, s.now-executed)))
 }
 
+// longLeases returns the workers with runs whose leases may last longer than Lease, or may do so
+// before the next claim. They include those that have not answered in this term.
+func (s *State) longLeases() []string {
+	var ids []string
+	for _, w := range s.sortedWorkers() {
+		if len(w.attempts) > 0 && (w.hasUnseenStart() || w.clockAt != 0 && s.leaseLeft(w) > s.Lease+leaseMargin) {
+			ids = append(ids, w.ID)
+		}
+	}
+	return ids
+}
+
+// hasUnseenStart reports whether w has an attempt that no list of runs accounts for yet.
+func (w *worker) hasUnseenStart() bool {
+	for _, a := range w.attempts {
+		if a.maybeUnseen || a.phase == phasePlanned || a.phase == phaseUnconfirmed {
+			return true
+		}
+	}
+	return false
+}
+
 // anyOver reports whether the lease of an attempt on w has certainly expired.
 func (s *State) anyOver(w *worker) bool {
 	for _, a := range w.attempts {
--- a/internal/scheduling/coordinator/presumed_test.go
+++ b/internal/scheduling/coordinator/presumed_test.go
@@ -705,20 +705,22 @@
 	assert.Greater(t, x.now, restart+500+x.state.MaxLease)
 }
 
-// A coordinator that is killed leaves no word of its last starts. Its successor, which knows that it
-// is gone, must still await the lease of a worker that restarted unseen and executed one.
-func TestKilledCoordinatorsUnseenRestartIsAwaited(t *testing.T) {
+// The successor of a killed coordinator must await the lease of a worker that restarted under its
+// ID and executed a start, whether the coordinator saw the restart or not.
+func TestKilledCoordinatorsLongLeaseIsAwaited(t *testing.T) {
 	w := []string{"w000"}
-	c := simulation.New(simulation.Scenario{
-		Workers: 2, Configuration: configuration(0), Jobs: []simulation.Arrival{{At: 3000, Spec: batch("b", 1, 30_000)}},
-		Faults: []simulation.Fault{
-			{At: 3000, Duration: 30_000, Kind: simulation.AnswersLost, Workers: w},
-			{At: 3003, Duration: 2, Kind: simulation.Reborn, Workers: w},
-			{At: 3060, Duration: 1500, Kind: simulation.Replace},
-		},
-	})
-	c.RunUntilEnded(40_000)
-	assert.Empty(t, c.Violations)
+	for _, silentAt := range []int64{23_000, 25_000} {
+		c := simulation.New(simulation.Scenario{
+			Workers: 2, Configuration: configuration(0), Jobs: []simulation.Arrival{{At: 23_000, Spec: batch("b", 1, 30_000)}},
+			Faults: []simulation.Fault{
+				{At: silentAt, Duration: 30_000, Kind: simulation.AnswersLost, Workers: w},
+				{At: 23_003, Duration: 2, Kind: simulation.Reborn, Workers: w},
+				{At: silentAt + 60, Duration: 1500, Kind: simulation.Replace},
+			},
+		})
+		c.RunUntilEnded(70_000)
+		assert.Empty(t, c.Violations, "silent at %d ms", silentAt)
+	}
 }
 
 // A start that a worker has not executed must not be sent again once the worker is about to leave,
--- a/internal/scheduling/coordinator/recorder.go
+++ b/internal/scheduling/coordinator/recorder.go
@@ -74,6 +74,10 @@
 	}
 	s.recordsToDrop = nil
 	renew := len(r.Records) > 0 || s.renewalDue || s.now >= s.renewedAt+s.RenewInterval
+	for _, u := range s.unrecordedUnits {
+		// The claim names the workers of new placements before their starts.
+		renew = renew || u.batch == r.Batch
+	}
 	if !renew && len(r.Details) == 0 {
 		return
 	}
@@ -106,6 +110,7 @@
 	c := &jobstate.Claim{
 		Host: s.Host, Incarnation: s.Incarnation, Renewal: s.renewals, RenewedTerm: s.Term, SoleLeader: s.predecessorsGone,
 		Leases: s.boundedLeases(s.nextBatch(), resigning), BoundedLeases: !s.UnboundedLeases || s.predecessorsGone,
+		LongLeases: s.longLeases(),
 	}
 	if !s.predecessorsGone {
 		c.Predecessors = s.Predecessors
--- a/internal/scheduling/coordinator/state.go
+++ b/internal/scheduling/coordinator/state.go
@@ -115,6 +115,8 @@
 	UnboundedLeases bool
 	// PriorLeases holds the leases named by the claim that was in force before.
 	PriorLeases []jobstate.WorkerLease
+	// PriorLongLeases holds the workers that it named as having longer leases.
+	PriorLongLeases []string
 
 	// now and wall are the times of the newest event; see Event.
 	now, wall int64
--- a/internal/scheduling/jobstate/record.go
+++ b/internal/scheduling/jobstate/record.go
@@ -46,6 +46,9 @@
 	// BoundedLeases is set if no lease of this coordinator and those in Predecessors outlasts
 	// the validity of its claim. Hosts of earlier versions do not set it.
 	BoundedLeases bool `cbor:"9,keyasint,omitempty"`
+	// LongLeases holds the workers whose leases may be the longest that they accept, since a
+	// restart may have changed or has changed their clocks. It is complete until the next claim.
+	LongLeases []string `cbor:"10,keyasint,omitempty"`
 }
 
 // LeasesBounded reports whether no lease of the claim's coordinator and earlier ones outlasts
--- a/internal/scheduling/simulation/coordinator.go
+++ b/internal/scheduling/simulation/coordinator.go
@@ -99,7 +99,7 @@
 	host := &coordinatorHost{cluster: c, term: c.table.NextOffset + 1}
 	prior := c.table.Claim
 	prior.Leases = coordinator.PassOn(prior.Leases, c.now-c.claimWrittenAt)
-	r, err := jobstate.ClaimRecord(&jobstate.Claim{Host: "host", Incarnation: "host-1", Leases: prior.Leases})
+	r, err := jobstate.ClaimRecord(&jobstate.Claim{Host: "host", Incarnation: "host-1", Leases: prior.Leases, LongLeases: prior.LongLeases})
 	if err != nil {
 		c.violationf("a claim cannot be encoded: %v", err)
 		return
@@ -110,7 +110,7 @@
 	c.latestTerm = host.term
 	c.write(r)
 	c.leader = host
-	host.state = coordinator.State{Settings: c.Coordinator, Term: host.term, PriorLeases: prior.Leases}
+	host.state = coordinator.State{Settings: c.Coordinator, Term: host.term, PriorLeases: prior.Leases, PriorLongLeases: prior.LongLeases}
 	host.execute(host.state.Start(c.now, c.now, &c.table, c.details, c.Configuration, predecessorsGone))
 	for _, w := range c.workers {
 		if w.listed {
