--- a/internal/scheduling/coordinator/state.go
+++ b/internal/scheduling/coordinator/state.go
@@ -200,9 +200,8 @@
 }
 
 // Start loads the jobs of the job table, whose clock is that of now. It must be called once,
-// before Apply. details
-// must have been read after their partition was fenced. predecessorsGone reports that
-// earlier coordinators certainly send no more orders.
+// before Apply. details must have been read after their partition was fenced.
+// predecessorsGone reports that earlier coordinators certainly send no more orders.
 func (s *State) Start(now, wall int64, table *jobstate.Table, details jobstate.Details, config *queueconfig.Configuration, predecessorsGone bool) []Effect {
 	s.init()
 	s.now, s.wall, s.acquiredAt, s.claimVerifiedAt, s.config = now, wall, now, s.ClaimedAt, config
