coordinator: record leases of workers one by one, not in claims

Cause: since each batch with a placement carries a claim, which lists every worker with a start that no list of runs accounts for. All hosts read claims. In a burst the list has hundreds of workers, and the claims fill the link between the regions: workers of the far region seem silent, which also adds them to the list of bounded leases. The second list is older and grows in the same way while a data centre is cut off.

Claims now name no workers. What a successor must know of a worker's leases is a record of its own in the partition of the details, which only a coordinator reads. A record names the renewal that follows it, so that its reader knows from when the time counts. A resignation still names what has changed since the last batch. Hosts of earlier versions see claims without bounded leases and await the longest ones.

The tests of bounded leases read them from their records now, and require that claims name none.

--- a/internal/host/frontend/details.go
+++ b/internal/host/frontend/details.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobstate"
 	"github.com/limpetrelay/limpetrelay/internal/storage/keyedstore"
 )
@@ -14,7 +16,7 @@
 const detailsTimeout = 2 * time.Second
 
 // readDetails fences the details partition, which holds the progress of the tasks of
-// open jobs, against earlier coordinators and reads it. The store returns the partition
+// open jobs and the recorded leases of workers, against earlier coordinators and reads it. The store returns the partition
 // in parts read at different times; they are consistent, since after the fencing no
 // other coordinator can write.
 func (l *leader) readDetails(ctx context.Context) (jobstate.Details, error) {
@@ -29,9 +31,10 @@
 		return nil, err
 	}
 	d := make(jobstate.Details)
+	l.state.RecordedLeases = make(jobstate.Leases)
 	_, err = l.readNewest(ctx, l.details.topic, 0, func(part []keyedstore.Entry, _ int64) error {
 		for _, e := range part {
-			if err := d.Apply(e.Record); err != nil {
+			if err := errors.CombineErrors(d.Apply(e.Record), l.state.RecordedLeases.Apply(e.Record)); err != nil {
 				// Without a coordinator, all jobs would stand still.
 				l.Logger.Error("record cannot be read", slog.Uint64("offset", e.Offset), errorAttr(err))
 			}
@@ -41,6 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l.Logger.Info("details read", slog.Uint64("term", l.term), slog.Int("jobs", len(d)), slog.Int64("tookMs", l.now()-began))
+	l.Logger.Info("details read", slog.Uint64("term", l.term), slog.Int("jobs", len(d)),
+		slog.Int("leases", len(l.state.RecordedLeases)), slog.Int64("tookMs", l.now()-began))
 	return d, nil
 }
--- a/internal/host/frontend/leader.go
+++ b/internal/host/frontend/leader.go
@@ -56,16 +56,22 @@
 		h.noteExit()
 		if at, prior, ok := h.mayClaim(); ok {
 			claimedAt := h.now()
-			if term, ok := h.claim(ctx, at, &prior); ok {
+			if term, ok := h.claim(ctx, at, &prior.Claim); ok {
 				h.lead(ctx, term, claimedAt, prior)
 			}
 		}
 	}
 }
 
+// priorClaim is the claim that was in force before a takeover, and when it was read.
+type priorClaim struct {
+	jobstate.Claim
+	seenAt int64
+}
+
 // mayClaim reports whether this host may claim the role now. It also returns the offset
 // at which the job table ends and the claim in force there.
-func (h *Host) mayClaim() (at uint64, prior jobstate.Claim, ok bool) {
+func (h *Host) mayClaim() (at uint64, prior priorClaim, ok bool) {
 	if ok, _ := h.Ready(); !ok {
 		return 0, prior, false
 	}
@@ -84,7 +90,7 @@
 	default:
 		wait += coordinatorTimeout
 	}
-	return h.table.NextOffset, *c, now-h.claimSeenAt >= wait
+	return h.table.NextOffset, priorClaim{Claim: *c, seenAt: h.claimSeenAt}, now-h.claimSeenAt >= wait
 }
 
 // claimDelay returns how long this host waits before it claims a free role, in
@@ -100,14 +106,14 @@
 
 // claim writes a claim on the condition that the jobs partition still ends at offset
 // at, and makes at+1 its term. It returns the term and whether this host holds it. prior
-// is the claim in force at that offset, of whose leases the times left are updated.
+// is the claim in force at that offset.
 func (h *Host) claim(ctx context.Context, at uint64, prior *jobstate.Claim) (uint64, bool) {
 	h.mu.Lock()
 	active, known := h.table.ActiveHolders(prior, h.Name())
-	prior.Leases = coordinator.PassOn(prior.Leases, h.now()-h.claimSeenAt)
+	leases := coordinator.PassOn(prior.Leases, h.now()-h.claimSeenAt)
 	h.mu.Unlock()
 	r, err := jobstate.ClaimRecord(&jobstate.Claim{
-		Host: h.Name(), Incarnation: h.Incarnation, SoleLeader: known && len(active) == 0, Predecessors: active, Leases: prior.Leases,
+		Host: h.Name(), Incarnation: h.Incarnation, SoleLeader: known && len(active) == 0, Predecessors: active, Leases: leases,
 		BoundedLeases: prior.LeasesBounded() || known && len(active) == 0, LongLeases: prior.LongLeases,
 	})
 	if err != nil {
@@ -160,7 +166,7 @@
 // lead runs the coordinator for a term until the role is lost, the host drains or ctx
 // ends, and then resigns. It resigns at once if the details cannot be read. claimedAt is
 // when the claim was sent, and prior is the claim that was in force before.
-func (h *Host) lead(ctx context.Context, term uint64, claimedAt int64, prior jobstate.Claim) {
+func (h *Host) lead(ctx context.Context, term uint64, claimedAt int64, prior priorClaim) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	settings := h.currentSettings()
@@ -178,15 +184,15 @@
 	}
 	details, err := l.readDetails(ctx)
 	h.mu.Lock()
-	active, known := h.table.ActiveHolders(&prior, h.Name())
+	active, known := h.table.ActiveHolders(&prior.Claim, h.Name())
 	h.mu.Unlock()
-	l.state.Predecessors, l.state.PriorLeases, l.state.UnboundedLeases = active, prior.Leases, !prior.LeasesBounded()
-	l.state.PriorLongLeases = prior.LongLeases
+	l.state.Predecessors, l.state.UnboundedLeases = active, !prior.LeasesBounded()
+	l.state.PriorLeases, l.state.PriorLongLeases = coordinator.PriorLeases(&prior.Claim, l.state.RecordedLeases, claimedAt-prior.seenAt, settings.MaxLease)
 	if err != nil {
 		h.Logger.Warn("role given back", slog.Uint64("term", term), slog.String("why", err.Error()))
 		h.ineligibleUntil = h.now() + ineligiblePeriod
 		c := l.state.Resignation()
-		c.SoleLeader, c.Leases = known && len(active) == 0, coordinator.PassOn(prior.Leases, h.now()-claimedAt)
+		c.SoleLeader, c.Leases = known && len(active) == 0, coordinator.PassOn(prior.Leases, h.now()-prior.seenAt)
 		c.LongLeases = prior.LongLeases
 		l.resign(ctx, c)
 		return
@@ -197,8 +203,8 @@
 	ends := make(chan struct{}, 2)
 	h.mu.Lock()
 	effects := l.state.Start(h.now(), h.Wall().UnixMilli(), &h.table, details, h.config.Load(),
-		h.table.PredecessorsGone(&prior, h.Name()))
-	h.priorClaim = prior
+		h.table.PredecessorsGone(&prior.Claim, h.Name()))
+	h.priorClaim = prior.Claim
 	h.postEvent = func(e coordinator.Event) { l.post(ctx, e) }
 	h.mu.Unlock()
 	go func() {
--- a/internal/scheduling/coordinator/lease.go
+++ b/internal/scheduling/coordinator/lease.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"log/slog"
+	"maps"
 	"slices"
 
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobstate"
@@ -25,48 +27,111 @@
 		return 0
 	}
 	lease, validity := s.Lease, s.ClaimValidity
-	if w.Draining || s.maybeInForce(w.shortLeaseBatch) {
+	if w.Draining || s.recordedLeases[w.ID].short || w.shortUntilBatch > s.written {
 		lease, validity = min(lease, drainLease), drainValidity
 	}
 	return max(0, min(lease, s.claimVerifiedAt+validity-s.now))
 }
 
-// mustEndLease reports whether a claim that may be the last one says when w's lease ends.
-// Nothing may extend it before a claim without w is in the store.
-func (s *State) mustEndLease(w *worker) bool { return s.maybeInForce(w.endingLeaseBatch) }
+// mustEndLease reports whether the store may say when w's lease ends. Nothing may extend it
+// before that is replaced.
+func (s *State) mustEndLease(w *worker) bool {
+	l := s.recordedLeases[w.ID]
+	return l.Bound != nil && !l.short || w.endingUntilBatch > s.written
+}
 
-// maybeInForce reports whether the claim of a batch, which may be 0 for none, is the last one in
-// the store or may become it.
-func (s *State) maybeInForce(batch uint64) bool { return batch != 0 && batch >= s.claimWritten }
+// recordedLease is the record of a worker's leases.
+type recordedLease struct {
+	jobstate.RecordedLease
+	// short is set if Bound bounds all leases of a worker that is about to leave. They may be
+	// extended, unlike others with a bound.
+	short bool
+}
 
-// boundedLeases returns the leases for the claim of a batch. They are those of workers that do
-// not answer, which are not extended, and of workers that are about to leave, which never
-// last longer than drainValidity. A resignation also names those that may have restarted
-// unseen. Only workers with runs matter.
-func (s *State) boundedLeases(batch uint64, resigning bool) []jobstate.WorkerLease {
-	var ls []jobstate.WorkerLease
+// sameAs reports whether a successor learns the same from l and m, but for the time that has
+// passed.
+func (l *recordedLease) sameAs(m *recordedLease) bool {
+	if (l.Bound == nil) != (m.Bound == nil) || l.Long != m.Long || l.Unseen != m.Unseen || l.short != m.short {
+		return false
+	}
+	return l.Bound == nil || l.Bound.MaybeUnseen == m.Bound.MaybeUnseen
+}
+
+// recordLeases adds the changes of the recorded leases to a batch. The time left of leases that
+// are not extended is recorded anew every RenewInterval.
+func (s *State) recordLeases(r *Record) {
+	refresh := s.now >= s.leasesRefreshedAt+s.RenewInterval
+	if refresh {
+		s.leasesRefreshedAt = s.now
+	}
+	if s.recordedLeases == nil {
+		s.recordedLeases = make(map[string]recordedLease)
+	}
 	for _, w := range s.sortedWorkers() {
-		if len(w.attempts) == 0 || w.lifetimeOver {
+		old, recorded := s.recordedLeases[w.ID]
+		l, ok := s.lease(w)
+		ending := l.Bound != nil && !l.short
+		if !recorded && !ok || recorded && ok && l.sameAs(&old) && !(refresh && ending) {
 			continue
 		}
-		left := max(0, s.leaseLeft(w))
-		for _, a := range w.attempts {
-			left = max(left, s.runLeft(a))
+		if old.Bound != nil && !old.short && !ending {
+			w.endingUntilBatch = r.Batch
+		}
+		if old.short && !l.short {
+			w.shortUntilBatch = r.Batch
+		}
+		s.recordLease(r, w.ID, &l, ok)
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.recordedLeases)) {
+		if s.workers[id] == nil {
+			s.recordLease(r, id, nil, false)
 		}
+	}
+}
+
+// recordLease adds the record of a worker's lease to a batch, or its deletion if there is none.
+func (s *State) recordLease(r *Record, id string, l *recordedLease, ok bool) {
+	if !ok {
+		delete(s.recordedLeases, id)
+		r.Details = append(r.Details, jobstate.DropLeaseRecord(id))
+		return
+	}
+	l.Term, l.Renewal = s.Term, s.renewals+1
+	d, err := jobstate.LeaseRecord(id, &l.RecordedLease)
+	if err != nil {
+		s.log("lease not recorded", slog.String("worker", id), slog.String("error", err.Error()))
+		return
+	}
+	s.recordedLeases[id] = *l
+	r.Details = append(r.Details, d)
+}
+
+// lease returns what the store must say of w's leases; ok is false if there is nothing. Bounded
+// are those of workers that do not answer, which are not extended, and of workers that are about
+// to leave, which never last longer than drainValidity. Long are those of workers with runs that
+// may have restarted or have; they include workers that have not answered in this term. Only
+// workers with runs matter.
+func (s *State) lease(w *worker) (l recordedLease, ok bool) {
+	if len(w.attempts) == 0 {
+		return l, false
+	}
+	l.Unseen = w.hasUnseenStart() || s.maybeUnseen(w)
+	l.Long = l.Unseen || w.hasUnconfirmedStart() || w.clockAt != 0 && s.leaseLeft(w) > s.Lease+leaseMargin
+	unheard := s.unheard(w)
+	if !w.lifetimeOver && (unheard || w.Draining) {
+		left := s.allLeasesLeft(w)
 		switch {
-		case s.unheard(w) || resigning && s.maybeUnseen(w):
-			w.endingLeaseBatch = batch
-			ls = append(ls, jobstate.WorkerLease{Worker: w.ID, Left: left, MaybeUnseen: s.maybeUnseen(w)})
-		case w.Draining && w.clockAt != 0 && w.reconciled && !w.clockReset && w.entryIsCurrent() && left <= drainValidity:
-			w.shortLeaseBatch = batch
-			ls = append(ls, jobstate.WorkerLease{Worker: w.ID, Left: drainValidity})
+		case unheard:
+			l.Bound = &jobstate.WorkerLease{Worker: w.ID, Left: left, MaybeUnseen: s.maybeUnseen(w)}
+		case w.clockAt != 0 && w.reconciled && !w.clockReset && w.entryIsCurrent() && left <= drainValidity:
+			l.Bound, l.short = &jobstate.WorkerLease{Worker: w.ID, Left: drainValidity}, true
 		}
 	}
-	return ls
+	return l, l.Long || l.Bound != nil
 }
 
-// unheard reports whether the claim names the lease of w as one that is not extended, since w
-// does not answer. One that has not answered in this term has no lease from this coordinator:
+// unheard reports whether the lease of w is recorded as one that is not extended, since w does
+// not answer. One that has not answered in this term has no lease from this coordinator:
 // what is known of it is passed on at once, as the term may be short.
 func (s *State) unheard(w *worker) bool {
 	if w.clockAt != 0 {
@@ -78,17 +143,45 @@
 	return s.now-s.acquiredAt > s.SilenceTimeout || !w.listed && s.now-s.acquiredAt >= s.RenewInterval
 }
 
+// PriorLeases returns the bounded leases and the workers with longer leases that the claim c of
+// the last coordinator and the leases recorded beside it name, d milliseconds after the claim was
+// read at the latest. maxLease is Settings.MaxLease.
+func PriorLeases(c *jobstate.Claim, recorded jobstate.Leases, d, maxLease int64) (bounded []jobstate.WorkerLease, long []string) {
+	long = slices.Clone(c.LongLeases)
+	for _, id := range slices.Sorted(maps.Keys(recorded)) {
+		l := recorded[id]
+		switch {
+		case l.Bound != nil && l.Precedes(c):
+			bounded = append(bounded, passOn(*l.Bound, d))
+		case l.Bound != nil && l.Term == c.Term:
+			bounded = append(bounded, *l.Bound)
+		case l.Unseen && (c.Resigned || l.Term != c.Term):
+			// No time may have passed since the start was sent, and it may be executed late.
+			bounded = append(bounded, jobstate.WorkerLease{Worker: id, Left: maxLease + lateExecution, MaybeUnseen: true})
+		}
+		if l.Long {
+			long = append(long, id)
+		}
+	}
+	// What the claim itself names is newer.
+	return append(bounded, PassOn(c.Leases, d)...), long
+}
+
 // PassOn returns the leases that a claim names, d milliseconds after it was read at the latest.
-// The claim that follows it names them too.
 func PassOn(leases []jobstate.WorkerLease, d int64) []jobstate.WorkerLease {
 	var ls []jobstate.WorkerLease
 	for _, l := range leases {
-		l.Left = max(0, l.Left-scaleElapsed(d))
-		ls = append(ls, l)
+		ls = append(ls, passOn(l, d))
 	}
 	return ls
 }
 
+// passOn returns a lease, d milliseconds after it was recorded.
+func passOn(l jobstate.WorkerLease, d int64) jobstate.WorkerLease {
+	l.Left = max(0, l.Left-scaleElapsed(d))
+	return l
+}
+
 // recordAnswer records that w answered with the given clock.
 func (s *State) recordAnswer(w *worker, clock int64) {
 	w.silentSince = 0
@@ -183,22 +276,30 @@
 	return max(left, s.MaxLease+leaseMargin+max(0, executed-s.now)-scaleElapsed(max(0, s.now-executed)))
 }
 
-// longLeases returns the workers with runs whose leases may last longer than Lease, or may do so
-// before the next claim. They include those that have not answered in this term.
-func (s *State) longLeases() []string {
-	var ids []string
-	for _, w := range s.sortedWorkers() {
-		if len(w.attempts) > 0 && (w.hasUnseenStart() || w.clockAt != 0 && s.leaseLeft(w) > s.Lease+leaseMargin) {
-			ids = append(ids, w.ID)
-		}
+// allLeasesLeft returns for how long a lease of w or of a run on it may still last, in milliseconds.
+func (s *State) allLeasesLeft(w *worker) int64 {
+	left := max(0, s.leaseLeft(w))
+	for _, a := range w.attempts {
+		left = max(left, s.runLeft(a))
 	}
-	return ids
+	return left
 }
 
-// hasUnseenStart reports whether w has an attempt that no list of runs accounts for yet.
+// hasUnseenStart reports whether w has an attempt of which this coordinator has sent a start, or
+// is about to, that no list of runs accounts for yet.
 func (w *worker) hasUnseenStart() bool {
 	for _, a := range w.attempts {
-		if a.maybeUnseen || a.phase == phasePlanned || a.phase == phaseUnconfirmed {
+		if a.maybeUnseen || a.phase == phasePlanned {
+			return true
+		}
+	}
+	return false
+}
+
+// hasUnconfirmedStart reports whether w has an attempt of which it is not known whether it runs.
+func (w *worker) hasUnconfirmedStart() bool {
+	for _, a := range w.attempts {
+		if a.phase == phaseUnconfirmed {
 			return true
 		}
 	}
--- a/internal/scheduling/coordinator/lease_test.go
+++ b/internal/scheduling/coordinator/lease_test.go
@@ -94,7 +94,7 @@
 func TestLeaseLeftIsPassedOn(t *testing.T) {
 	x := newSuccessor(t)
 	x.wait(6000)
-	leases := x.lastClaim().Leases
+	leases := x.boundedLeases(x.lastClaim())
 	require.Len(t, leases, 1)
 	assert.Equal(t, "w", leases[0].Worker)
 	assert.InDelta(t, 6500, leases[0].Left, 600)
@@ -105,10 +105,10 @@
 // of a worker that had left waited 12.4 s after each change of the role.
 func TestShortTermPassesOnLeases(t *testing.T) {
 	x := newSuccessor(t, jobstate.WorkerLease{Worker: "w", Left: 4000})
-	assert.Equal(t, []jobstate.WorkerLease{{Worker: "w", Left: 4100}}, x.lastClaim().Leases)
+	assert.Equal(t, []jobstate.WorkerLease{{Worker: "w", Left: 4100}}, x.boundedLeases(x.lastClaim()))
 	x = newSuccessor(t)
 	x.wait(600)
-	leases := x.lastClaim().Leases
+	leases := x.boundedLeases(x.lastClaim())
 	require.Len(t, leases, 1, "w is not listed")
 	assert.InDelta(t, 11_600, newSuccessor(t, coordinator.PassOn(leases, 0)...).waitForStart(), 400)
 	assert.Equal(t, []jobstate.WorkerLease{{Worker: "w", Left: 3020}}, coordinator.PassOn([]jobstate.WorkerLease{{Worker: "w", Left: 4000}}, 1000))
@@ -163,13 +163,13 @@
 	for x.now < begin+5000 {
 		x.wait(100)
 		x.answerPolls("w", lifetime, run)
-		if len(x.lastClaim().Leases) > 0 && named == 0 {
+		if len(x.boundedLeases(x.lastClaim())) > 0 && named == 0 {
 			named = x.now
 		}
 	}
 	assert.Greater(t, named, begin+1500, "a lease of 6 s was granted before")
 	assert.Less(t, named, begin+3500)
-	assert.Equal(t, []jobstate.WorkerLease{{Worker: "w", Left: 4000}}, x.lastClaim().Leases)
+	assert.Equal(t, []jobstate.WorkerLease{{Worker: "w", Left: 4000}}, x.boundedLeases(x.lastClaim()))
 }
 
 // The lease of a worker that the claim in force names as silent must not be extended before a
@@ -187,7 +187,7 @@
 		x.wait(100)
 		x.unanswerPolls()
 	}
-	require.Len(t, x.lastClaim().Leases, 1)
+	require.Len(t, x.boundedLeases(x.lastClaim()), 1)
 	x.holdRecords = true
 	x.wait(300)
 	x.answerPolls("w", lifetime, run)
@@ -197,7 +197,7 @@
 	x.confirmRecords()
 	x.answerPolls("w", lifetime, run)
 	x.wait(300)
-	assert.Empty(t, x.lastClaim().Leases)
+	assert.Empty(t, x.boundedLeases(x.lastClaim()))
 	require.NotEmpty(t, x.polls)
 	assert.Positive(t, x.polls[len(x.polls)-1].Order.Lease)
 }
--- a/internal/scheduling/coordinator/presumed_test.go
+++ b/internal/scheduling/coordinator/presumed_test.go
@@ -32,6 +32,7 @@
 	// details holds what was recorded of open jobs. While holdRecords is set, batches are
 	// not confirmed; held is the last of them.
 	details     jobstate.Details
+	leases      jobstate.Leases
 	holdRecords bool
 	held        uint64
 	// claim is the last record of the newest batch that has any, which is its claim.
@@ -67,10 +68,11 @@
 // record applies the details of a batch and confirms it.
 func (x *exchange) record(b *coordinator.Record) {
 	if x.details == nil {
-		x.details = make(jobstate.Details)
+		x.details, x.leases = make(jobstate.Details), make(jobstate.Leases)
 	}
 	for _, r := range b.Details {
 		require.NoError(x, x.details.Apply(r))
+		require.NoError(x, x.leases.Apply(r))
 	}
 	for _, r := range b.Records {
 		x.table.NextOffset++
@@ -86,6 +88,15 @@
 	}
 }
 
+// boundedLeases returns the leases that the last coordinator has bounded, for a claim that was read
+// just now, and requires that their size is not that of the claim.
+func (x *exchange) boundedLeases(c *jobstate.Claim) []jobstate.WorkerLease {
+	x.Helper()
+	require.Empty(x, c.Leases)
+	bounded, _ := coordinator.PriorLeases(c, x.leases, 0, x.state.MaxLease)
+	return bounded
+}
+
 // confirmRecords confirms the last batch.
 func (x *exchange) confirmRecords() {
 	x.holdRecords = false
@@ -674,7 +685,7 @@
 	x.list("w", 950, false)
 	x.answerPolls("w", 950)
 	x.submit()
-	y := newSuccessor(t, x.state.Resignation().Leases...)
+	y := newSuccessor(t, x.boundedLeases(x.state.Resignation())...)
 	y.apply(coordinator.Event{PredecessorsGone: true})
 	assert.Greater(t, y.waitForStart(), x.state.MaxLease)
 }
--- a/internal/scheduling/coordinator/recorder.go
+++ b/internal/scheduling/coordinator/recorder.go
@@ -22,10 +22,8 @@
 	// batch is the number of the last batch sent, and written that of the last one
 	// in the store.
 	batch, written uint64
-	// claimBatch is the number of the last batch sent with a claim, and claimWritten that of
-	// the last one in the store. renewalDue is set if the claim is to be renewed at once.
-	claimBatch, claimWritten uint64
-	renewalDue               bool
+	// renewalDue is set if the claim is to be renewed at once.
+	renewalDue bool
 	// renewals counts the renewals of the claim under this term.
 	renewals uint64
 	// unrecordedUnits holds the units whose placement is not in the store yet, in the
@@ -33,6 +31,10 @@
 	unrecordedUnits []*unit
 	// renewedAt is when the last renewal was sent.
 	renewedAt int64
+	// recordedLeases holds what the store says of leases once the last batch sent is written,
+	// by worker ID. The bounds of leases were last refreshed at leasesRefreshedAt.
+	recordedLeases    map[string]recordedLease
+	leasesRefreshedAt int64
 }
 
 // nextBatch returns the number of the batch that will contain a change made now.
@@ -74,13 +76,11 @@
 	}
 	s.recordsToDrop = nil
 	renew := len(r.Records) > 0 || s.renewalDue || s.now >= s.renewedAt+s.RenewInterval
-	for _, u := range s.unrecordedUnits {
-		// The claim names the workers of new placements before their starts.
-		renew = renew || u.batch == r.Batch
-	}
 	if !renew && len(r.Details) == 0 {
 		return
 	}
+	// Leases are recorded with the placements that make them longer, and so before the starts.
+	s.recordLeases(&r)
 	if renew {
 		s.renewals++
 		c, err := jobstate.ClaimRecord(s.Claim())
@@ -89,7 +89,7 @@
 			return
 		}
 		r.Records = append(r.Records, c)
-		s.renewedAt, s.renewalDue, s.claimBatch = s.now, false, r.Batch
+		s.renewedAt, s.renewalDue = s.now, false
 	}
 	s.batch = r.Batch
 	s.charge(r.size())
@@ -97,20 +97,10 @@
 }
 
 // Claim returns the claim that renews the role with the next batch.
-func (s *State) Claim() *jobstate.Claim { return s.claim(false) }
-
-// Resignation returns the claim that gives up the role.
-func (s *State) Resignation() *jobstate.Claim {
-	c := s.claim(true)
-	c.Resigned = true
-	return c
-}
-
-func (s *State) claim(resigning bool) *jobstate.Claim {
+func (s *State) Claim() *jobstate.Claim {
 	c := &jobstate.Claim{
 		Host: s.Host, Incarnation: s.Incarnation, Renewal: s.renewals, RenewedTerm: s.Term, SoleLeader: s.predecessorsGone,
-		Leases: s.boundedLeases(s.nextBatch(), resigning), BoundedLeases: !s.UnboundedLeases || s.predecessorsGone,
-		LongLeases: s.longLeases(),
+		BoundedLeases: !s.UnboundedLeases || s.predecessorsGone,
 	}
 	if !s.predecessorsGone {
 		c.Predecessors = s.Predecessors
@@ -118,6 +108,19 @@
 	return c
 }
 
+// Resignation returns the claim that gives up the role. It names the workers that may have
+// restarted unseen since the last batch.
+func (s *State) Resignation() *jobstate.Claim {
+	c := s.Claim()
+	c.Resigned = true
+	for _, w := range s.sortedWorkers() {
+		if s.maybeUnseen(w) && !s.recordedLeases[w.ID].Unseen {
+			c.Leases = append(c.Leases, jobstate.WorkerLease{Worker: w.ID, Left: s.allLeasesLeft(w), MaybeUnseen: true})
+		}
+	}
+	return c
+}
+
 // size returns the approximate number of bytes that writing the batch takes.
 func (r *Record) size() int {
 	n := recordOverhead
@@ -177,9 +180,6 @@
 		return
 	}
 	s.written = e.Batch
-	if s.claimBatch == e.Batch {
-		s.claimWritten = e.Batch
-	}
 	s.claimVerifiedAt = max(s.claimVerifiedAt, e.SentAt)
 	for _, j := range s.endedJobs {
 		s.retain(j, s.now)
--- a/internal/scheduling/coordinator/state.go
+++ b/internal/scheduling/coordinator/state.go
@@ -113,10 +113,12 @@
 	// UnboundedLeases is set if leases of an earlier coordinator may outlast the validity of its
 	// claim, by Lease at most: hosts of earlier versions grant such leases.
 	UnboundedLeases bool
-	// PriorLeases holds the leases named by the claim that was in force before.
-	PriorLeases []jobstate.WorkerLease
-	// PriorLongLeases holds the workers that it named as having longer leases.
+	// PriorLeases holds the bounded leases that the last coordinator left, and PriorLongLeases
+	// the workers with longer ones; see the function PriorLeases.
+	PriorLeases     []jobstate.WorkerLease
 	PriorLongLeases []string
+	// RecordedLeases holds the leases that are recorded beside the details.
+	RecordedLeases jobstate.Leases
 
 	// now and wall are the times of the newest event; see Event.
 	now, wall int64
@@ -213,6 +215,10 @@
 	for _, l := range s.PriorLeases {
 		s.priorLeases[l.Worker] = l
 	}
+	s.recordedLeases = make(map[string]recordedLease, len(s.RecordedLeases))
+	for id, l := range s.RecordedLeases {
+		s.recordedLeases[id] = recordedLease{RecordedLease: l}
+	}
 	if predecessorsGone {
 		s.markPredecessorsGone()
 	}
--- a/internal/scheduling/coordinator/worker.go
+++ b/internal/scheduling/coordinator/worker.go
@@ -41,9 +41,10 @@
 	// clockReset is set while an answer to an order shows a clock that was reset by a
 	// restart, until the next answer to a poll.
 	clockReset bool
-	// endingLeaseBatch is the last batch whose claim says when the worker's lease ends, and
-	// shortLeaseBatch the last one whose claim says that its leases are short; 0 for none.
-	endingLeaseBatch, shortLeaseBatch uint64
+	// endingUntilBatch is the last batch that replaced a record of when the worker's lease ends,
+	// and shortUntilBatch one that its leases are short. Before the batch is written, the
+	// record may be in force.
+	endingUntilBatch, shortUntilBatch uint64
 	// silentSince is when the first call since the last answer failed; 0 if none did.
 	silentSince int64
 
--- a/internal/scheduling/jobstate/detail.go
+++ b/internal/scheduling/jobstate/detail.go
@@ -11,6 +11,60 @@
 // volume that the other hosts read must not grow with the number of tasks.
 type Details map[string]*jobspec.Progress
 
+// Leases has the recorded leases by worker ID. They are kept beside the details: in a burst of
+// starts or while a data centre is cut off, a large part of all workers has one.
+type Leases map[string]RecordedLease
+
+// RecordedLease states how the leases of a worker with runs differ from those of other workers.
+type RecordedLease struct {
+	// Term is that of the coordinator that wrote the record, and Renewal the number of the
+	// renewal that it wrote next.
+	Term    uint64 `cbor:"1,keyasint"`
+	Renewal uint64 `cbor:"2,keyasint"`
+	// Bound, if set, bounds the worker's leases.
+	Bound *WorkerLease `cbor:"3,keyasint,omitempty"`
+	// Long is set if a lease may be the longest that the worker accepts, since a restart may
+	// have changed or has changed its clock.
+	Long bool `cbor:"4,keyasint,omitempty"`
+	// Unseen is set if the coordinator may have sent a start that no list of runs accounts
+	// for. An unseen restart may execute it late.
+	Unseen bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Precedes reports whether the record was written before the newest renewal of a claim.
+func (l *RecordedLease) Precedes(c *Claim) bool { return l.Term == c.Term && l.Renewal <= c.Renewal }
+
+// kindLease is the first byte of the key of a worker's recorded lease.
+const kindLease = 'w'
+
+// LeaseRecord returns the record of a worker's leases.
+func LeaseRecord(worker string, l *RecordedLease) (Record, error) {
+	return encode(kindLease, worker, l)
+}
+
+// DropLeaseRecord returns the record that deletes what is recorded of a worker's leases.
+func DropLeaseRecord(worker string) Record { return Record{Key: string(kindLease) + worker} }
+
+// Apply adds a record to ls if it is of a lease. A record that cannot be decoded is an error, and
+// the worker's leases then count as the longest.
+func (ls Leases) Apply(r Record) error {
+	if r.Key == "" || r.Key[0] != kindLease {
+		return nil
+	}
+	id := r.Key[1:]
+	if len(r.Value) == 0 {
+		delete(ls, id)
+		return nil
+	}
+	var l *RecordedLease
+	if err := decode(r.Value, &l); err != nil {
+		ls[id] = RecordedLease{Long: true, Unseen: true}
+		return errors.Wrapf(err, "decode the lease of worker %q", id)
+	}
+	ls[id] = *l
+	return nil
+}
+
 // fenceKey is the key of the record with which a coordinator fences the partition.
 const fenceKey = "f"
 
@@ -36,7 +90,7 @@
 // are not known, so that they must neither start again nor count as done.
 func (d Details) Apply(r Record) error {
 	switch {
-	case r.Key == fenceKey || len(r.Value) == 0:
+	case r.Key == fenceKey || len(r.Value) == 0 || r.Key != "" && r.Key[0] == kindLease:
 		return nil
 	case r.Key == "" || r.Key[0] != kindDetail:
 		return errors.Newf("a record with the key %q is not a detail record", r.Key)
--- a/internal/scheduling/jobstate/record.go
+++ b/internal/scheduling/jobstate/record.go
@@ -41,26 +41,32 @@
 	Predecessors []Holder `cbor:"7,keyasint,omitempty"`
 	// Resigned is set once the coordinator has resigned.
 	Resigned bool `cbor:"5,keyasint,omitempty"`
-	// Leases holds the workers with runs whose leases end sooner than any lease may.
-	Leases []WorkerLease `cbor:"8,keyasint,omitempty"`
+	// Leases and LongLeases are written by hosts of earlier versions, which record no
+	// RecordedLease, and by the host that takes over from one until its first renewal: the
+	// workers with runs whose leases end sooner than any lease may, and those whose leases
+	// may be the longest that they accept.
+	Leases     []WorkerLease `cbor:"8,keyasint,omitempty"`
+	LongLeases []string      `cbor:"10,keyasint,omitempty"`
+	// EarlierBoundedLeases is BoundedLeases as written by hosts of earlier versions. It is
+	// not set any more, since such a host must not take the lists above as complete.
+	EarlierBoundedLeases bool `cbor:"9,keyasint,omitempty"`
 	// BoundedLeases is set if no lease of this coordinator and those in Predecessors outlasts
-	// the validity of its claim. Hosts of earlier versions do not set it.
-	BoundedLeases bool `cbor:"9,keyasint,omitempty"`
-	// LongLeases holds the workers whose leases may be the longest that they accept, since a
-	// restart may have changed or has changed their clocks. It is complete until the next claim.
-	LongLeases []string `cbor:"10,keyasint,omitempty"`
+	// the validity of its claim, except as the recorded leases say.
+	BoundedLeases bool `cbor:"11,keyasint,omitempty"`
 }
 
 // LeasesBounded reports whether no lease of the claim's coordinator and earlier ones outlasts
 // the validity of their claims. That holds if there is no claim.
-func (c *Claim) LeasesBounded() bool { return c.Term == 0 || c.BoundedLeases }
+func (c *Claim) LeasesBounded() bool {
+	return c.Term == 0 || c.BoundedLeases || c.EarlierBoundedLeases
+}
 
 // WorkerLease bounds the leases that a worker has from this coordinator and all earlier
-// ones, if the claim that names it is the last one.
+// ones, if its record is the last one.
 type WorkerLease struct {
 	Worker string `cbor:"1,keyasint"`
-	// Left is the time after the writing of the claim at which the lease has ended, on the
-	// worker's clock, in milliseconds.
+	// Left is the time after the writing of the record or claim at which the lease has ended,
+	// on the worker's clock, in milliseconds.
 	Left int64 `cbor:"2,keyasint"`
 	// MaybeUnseen is set if that may be the lease of a lifetime that the coordinator has not
 	// seen, which is bounded by Left alone.
--- a/internal/scheduling/simulation/cluster.go
+++ b/internal/scheduling/simulation/cluster.go
@@ -20,9 +20,10 @@
 	Violations []string
 	// LogLines counts the coordinators' log lines by message.
 	LogLines map[string]int
-	// ReplicatedBytes is the size of the records that each host has read, without claims
-	// and renewals.
-	ReplicatedBytes int
+	// ReplicatedBytes is the size of the records that each host has read, and ClaimBytes
+	// that of the claims and renewals, which are not included in it. LargestClaim is the size
+	// of the largest of them.
+	ReplicatedBytes, ClaimBytes, LargestClaim int
 
 	now        int64
 	queue      eventQueue
@@ -35,8 +36,9 @@
 	workers        []*worker
 	jobs           map[string]*simulatedJob
 	gangs          map[gangKey]*gang
-	// details is the partition that only coordinators read.
+	// details and leases are the partition that only coordinators read.
 	details jobstate.Details
+	leases  jobstate.Leases
 	// leader is the newest coordinator, the only one whose records the store accepts.
 	leader    *coordinatorHost
 	storeDown bool
@@ -119,7 +121,7 @@
 	s.init()
 	c := &Cluster{
 		Scenario: s, LogLines: make(map[string]int), rand: rand.New(rand.NewPCG(s.Seed, 1)),
-		jobs: make(map[string]*simulatedJob), gangs: make(map[gangKey]*gang), details: make(jobstate.Details), now: 1,
+		jobs: make(map[string]*simulatedJob), gangs: make(map[gangKey]*gang), details: make(jobstate.Details), leases: make(jobstate.Leases), now: 1,
 	}
 	for i := range s.Workers {
 		c.addWorker(i)
@@ -200,6 +202,9 @@
 
 // writeDetail writes a record to the partition of the details.
 func (c *Cluster) writeDetail(r jobstate.Record) {
+	if err := c.leases.Apply(r); err != nil {
+		c.violationf("a recorded lease cannot be applied: %v", err)
+	}
 	if len(r.Value) == 0 {
 		delete(c.details, r.Key[1:])
 		return
@@ -215,6 +220,8 @@
 	change, err := c.table.Apply(c.table.NextOffset, r)
 	if change.ClaimChanged {
 		c.claimWrittenAt = c.now
+		c.ClaimBytes += len(r.Key) + len(r.Value)
+		c.LargestClaim = max(c.LargestClaim, len(r.Key)+len(r.Value))
 	} else {
 		c.ReplicatedBytes += len(r.Key) + len(r.Value)
 	}
--- a/internal/scheduling/simulation/coordinator.go
+++ b/internal/scheduling/simulation/coordinator.go
@@ -1,6 +1,8 @@
 package simulation
 
 import (
+	"maps"
+
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/coordinator"
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobstate"
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/placement"
@@ -98,8 +100,8 @@
 	}
 	host := &coordinatorHost{cluster: c, term: c.table.NextOffset + 1}
 	prior := c.table.Claim
-	prior.Leases = coordinator.PassOn(prior.Leases, c.now-c.claimWrittenAt)
-	r, err := jobstate.ClaimRecord(&jobstate.Claim{Host: "host", Incarnation: "host-1", Leases: prior.Leases, LongLeases: prior.LongLeases})
+	leases, long := coordinator.PriorLeases(&prior, c.leases, c.now-c.claimWrittenAt, c.MaxLease)
+	r, err := jobstate.ClaimRecord(&jobstate.Claim{Host: "host", Incarnation: "host-1"})
 	if err != nil {
 		c.violationf("a claim cannot be encoded: %v", err)
 		return
@@ -110,7 +112,7 @@
 	c.latestTerm = host.term
 	c.write(r)
 	c.leader = host
-	host.state = coordinator.State{Settings: c.Coordinator, Term: host.term, PriorLeases: prior.Leases, PriorLongLeases: prior.LongLeases}
+	host.state = coordinator.State{Settings: c.Coordinator, Term: host.term, PriorLeases: leases, PriorLongLeases: long, RecordedLeases: maps.Clone(c.leases)}
 	host.execute(host.state.Start(c.now, c.now, &c.table, c.details, c.Configuration, predecessorsGone))
 	for _, w := range c.workers {
 		if w.listed {
