coordinator: place no more than the host can start

Cause: start orders are paced by link and processor, but a scheduling pass places whatever fits. With 1,100 workers a pass hands out thousands of starts, of which some 700 leave in a second; the rest queues, by rank, and work that comes first in the queue finds no workers.

Work that is not urgent is now placed only as long as its start orders will be sent within 0.5 s; what is left waits unplaced, where the order of the requests decides.

--- a/internal/scheduling/coordinator/attempt.go
+++ b/internal/scheduling/coordinator/attempt.go
@@ -110,6 +110,9 @@
 func (s *State) newAttempt(u *unit, index int, w *worker) *attempt {
 	a := &attempt{unit: u, index: index, w: w, need: u.spec().Reserved(), progressedAt: s.now}
 	u.attempts = append(u.attempts, a)
+	if !u.sent {
+		s.pendingStarts++
+	}
 	u.job.addAttempt(a)
 	w.attempts[a.taskID()], w.sorted = a, nil
 	w.used = w.used.Add(a.need)
@@ -145,6 +148,7 @@
 		return
 	}
 	u.sent = true
+	s.pendingStarts -= len(u.attempts)
 	for _, a := range u.attempts {
 		s.sendStart(a)
 	}
@@ -206,6 +210,9 @@
 	u := a.unit
 	if i := slices.Index(u.attempts, a); i >= 0 {
 		u.attempts = slices.Delete(slices.Clone(u.attempts), i, i+1)
+		if !u.sent {
+			s.pendingStarts--
+		}
 	}
 	for _, waiting := range a.blockedUnits {
 		waiting.blockers--
--- a/internal/scheduling/coordinator/pacing.go
+++ b/internal/scheduling/coordinator/pacing.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -19,6 +20,9 @@
 	// queuedPolls holds the workers whose poll waits for its turn, in the order in which
 	// the polls were due.
 	queuedPolls []*worker
+	// pendingStarts is the number of attempts that are placed and whose start order was not
+	// sent.
+	pendingStarts int
 }
 
 // meter accounts for work that a resource carries one piece after the other. Times are in
@@ -53,6 +57,10 @@
 	// further ones wait, in milliseconds. Both are short against the timeout of an order.
 	startBurst = 150
 	pollBurst  = 50
+	// maxStartBacklog is how long the start orders of what was placed may take until nothing
+	// that is not urgent is placed any more, in milliseconds. What waits for its start order
+	// takes up capacity that work of a lower rank number could use.
+	maxStartBacklog = 500
 )
 
 // charge accounts for a call of n bytes.
@@ -85,6 +93,18 @@
 // milliseconds.
 func (s *State) callDelay() int64 { return max(s.link.delay(s.now), s.processor.delay(s.now)) }
 
+// mayQueueStarts returns how many tasks of a request may be placed now, at least, so that their
+// start orders are sent in time.
+func (s *State) mayQueueStarts(r *request) int {
+	link, processor := s.callTimes(orderOverhead + len(r.spec.Payload))
+	each := max(link, processor)
+	if r.rank < rankNonUrgent || each == 0 {
+		return math.MaxInt
+	}
+	left := maxStartBacklog - float64(s.callDelay()) - each*float64(s.pendingStarts)
+	return max(0, int(math.Ceil(left/each)))
+}
+
 // queueUnit sends the start orders of a unit as soon as it is its turn.
 func (s *State) queueUnit(u *unit) {
 	if u.queued {
--- a/internal/scheduling/coordinator/pacing_test.go
+++ b/internal/scheduling/coordinator/pacing_test.go
@@ -11,6 +11,7 @@
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobspec"
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobstate"
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/placement"
+	"github.com/limpetrelay/limpetrelay/internal/scheduling/simulation"
 )
 
 // A coordinator whose process was paused while start orders and polls waited for the link
@@ -64,3 +65,20 @@
 	}
 	assert.GreaterOrEqual(t, polls, polled+3, "the queued polls are sent with a valid claim")
 }
+
+// Scenario: a wide job of a low priority arrives before a gang that needs most of the workers. The
+// coordinator's host can send 100 start orders a second. What is placed and waits for its start
+// order holds its capacity, so that the gang found no workers for seconds while they were idle.
+func TestStartBacklogHoldsNoCapacity(t *testing.T) {
+	p := simulation.Scenario{Workers: 64, Configuration: configuration(0)}
+	p.Coordinator.CallRate = 400
+	p.Jobs = append(p.Jobs, simulation.Arrival{At: 3000, Spec: batch("wide", 512, 4000)})
+	p.Jobs = append(p.Jobs, simulation.Arrival{At: 3200, Spec: gang("gang", 32, 8, 2000, 1)})
+	w := runScenario(t, p, 60_000)
+	requireEnded(t, w, jobspec.Completed)
+	for _, r := range w.Results() {
+		if r.ID == "gang" {
+			assert.Less(t, r.Waited, int64(1600), "%+v", r)
+		}
+	}
+}
--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -74,7 +74,7 @@
 			pool = s.newPool(r.spec.Service)
 			pools[r.spec.Service] = pool
 		}
-		if len(pool.candidates) == 0 || s.mustAwaitAdvice(r, pool) {
+		if len(pool.candidates) == 0 || s.mustAwaitAdvice(r, pool) || s.mayQueueStarts(r) == 0 {
 			continue
 		}
 		s.place(r, pool)
@@ -133,7 +133,7 @@
 		for i := range j.requests {
 			r := j.requests[i]
 			r.rank, r.laxity = s.rank(j), j.deadline-s.now-j.spec.Steps[r.step].Estimate
-			if !s.skipRetry(&r) {
+			if s.mayQueueStarts(&r) > 0 && !s.skipRetry(&r) {
 				rs = append(rs, r)
 			}
 		}
@@ -376,6 +376,9 @@
 		s.placeGang(r, pool, demand)
 		return
 	}
+	if n := s.mayQueueStarts(r); n < demand.Tasks {
+		r.indices, demand.Tasks = r.indices[:n], n
+	}
 	full := pool.refused(r, placeSingle, 1)
 	if full && r.rank > rankUrgent {
 		s.placeStranded(r, pool, demand)
