coordinator: reserve workers for several gangs at a time

Cause: a service had at most one reservation at a time, whatever its size. With 1,100 workers some 26 were reserved, and small work took everything else that became free, so that all gangs but one waited for luck. Further, a reservation took workers by the time at which they are empty, although there is room for a task of the gang long before.

Every gang that may reserve now gets workers of its own, those that are expected to have room for its tasks first, by the ends of what runs there; all reservations together take at most half of a service's workers, or one gang. A placement that was refused because workers were reserved stands in for others that may use no more of them.

TestSeveralGangsStartAmongSmallWork: two of six gangs late by 1.4 and 5.4 s before, none after.

--- a/internal/scheduling/coordinator/load_test.go
+++ b/internal/scheduling/coordinator/load_test.go
@@ -185,3 +185,23 @@
 		assert.LessOrEqual(t, r.Starts, 1+urgent/jobs+1, "%+v", r)
 	}
 }
+
+// Scenario: a stream of small jobs of a low priority keeps all workers busy, and several gangs of a
+// higher priority arrive, each of which needs an eighth of the workers. One gang after the other
+// had workers reserved for it, and most of them were late.
+func TestSeveralGangsStartAmongSmallWork(t *testing.T) {
+	p := simulation.Scenario{Workers: 64, Configuration: configuration(0)}
+	for i := range 150 {
+		p.Jobs = append(p.Jobs, simulation.Arrival{At: int64(500 + 200*i), Spec: batch(fmt.Sprintf("b%03d", i), 24, 3000+1000*int64(i%9))})
+	}
+	for i := range 6 {
+		s := gang(fmt.Sprintf("gang%d", i), 8, 8, 4000, 1)
+		s.Steps[0].SameRack = i%2 == 0
+		p.Jobs = append(p.Jobs, simulation.Arrival{At: 16_000, Spec: s})
+	}
+	for _, r := range runScenario(t, p, 120_000).Results() {
+		if strings.HasPrefix(r.ID, "gang") {
+			assert.LessOrEqual(t, r.Lateness, int64(0), "%+v", r)
+		}
+	}
+}
--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -39,12 +39,13 @@
 	workers    []*worker
 	// racks holds the indices of the candidates by rack.
 	racks map[string][]int
-	// reserved holds the indices of the candidates reserved for the waiting gang
-	// reservedFor until reservedUntil, when it is expected to start. Only that gang, urgent
-	// requests and work that is expected to end before may use them.
-	reserved      map[int]bool
-	reservedFor   jobspec.TaskID
-	reservedUntil int64
+	// reservations holds the reservations in force, and reservedBy the one of each candidate;
+	// nil for none.
+	reservations []*reservation
+	reservedBy   []*reservation
+	// releases holds, for each candidate, when it is expected to have more free capacity; nil
+	// before that is needed.
+	releases [][]release
 	// indices holds the index of each worker by its ID.
 	indices map[string]int
 	// marked holds the indices of the candidates whose marks were set for the last request.
@@ -290,13 +291,9 @@
 		})
 	}
 	pool.racks = placement.ByRack(pool.candidates)
-	if res := s.activeReservation(service); res != nil {
-		pool.reservedFor, pool.reserved, pool.reservedUntil = res.gang, make(map[int]bool), res.until
-		for i, w := range pool.workers {
-			if res.workers[w.ID] {
-				pool.reserved[i] = true
-			}
-		}
+	pool.reservedBy = make([]*reservation, len(pool.workers))
+	for _, res := range s.activeReservations(service) {
+		pool.addReservation(res)
 	}
 	return pool
 }
@@ -319,8 +316,10 @@
 		}
 	}
 	if !useReserved && pool.excludesReserved(r) {
-		for i := range pool.reserved {
-			pool.mark(i).Excluded = true
+		for i, res := range pool.reservedBy {
+			if res != nil && res.excludes(r, s.now) {
+				pool.mark(i).Excluded = true
+			}
 		}
 	}
 	if s.requiresAdvice(r.job) {
@@ -355,10 +354,9 @@
 	pool.marked, pool.ownExclusions = pool.marked[:0], false
 }
 
-// excludesReserved reports whether r may not use the reserved workers.
+// excludesReserved reports whether r may not use some of the reserved workers.
 func (pool *candidatePool) excludesReserved(r *request) bool {
-	return len(pool.reserved) > 0 && r.rank >= rankNonUrgent && pool.reservedFor != stepID(r.job, r.occurrence, r.step) &&
-		pool.now+r.spec.Steps[r.step].Estimate > pool.reservedUntil
+	return slices.ContainsFunc(pool.reservations, func(res *reservation) bool { return res.excludes(r, pool.now) })
 }
 
 // avoidDuration is how long a step is not placed again on a worker where one of its
--- a/internal/scheduling/coordinator/state.go
+++ b/internal/scheduling/coordinator/state.go
@@ -154,8 +154,9 @@
 	guaranteesValid bool
 	// byID holds the workers ordered by ID; nil if it has to be made anew.
 	byID []*worker
-	// reservations holds the workers reserved for a waiting gang, by service.
-	reservations map[string]*reservation
+	// reservations holds the workers reserved for waiting gangs, by service, in the order of the
+	// reservations.
+	reservations map[string][]*reservation
 	// stopBudgets holds, by step, how many runs may still be preempted in this pass.
 	stopBudgets map[jobspec.TaskID]*placement.StopBudget
 	// capacityGains counts the changes that may have made capacity available. If it is
--- a/internal/scheduling/coordinator/stranded.go
+++ b/internal/scheduling/coordinator/stranded.go
@@ -55,7 +55,7 @@
 	}
 	r.room[step] = room
 	limit := int64(maxIdleTime)
-	if left := pool.reservedUntil - s.now; pool.excludesReserved(r) && left >= 0 && left <= reservationGrace {
+	if pool.reservationEndsSoon(r) {
 		limit = maxReservedIdleTime
 	}
 	if s.now < room.since+limit {
--- a/internal/scheduling/placement/candidate.go
+++ b/internal/scheduling/placement/candidate.go
@@ -37,6 +37,9 @@
 // Fit returns how many tasks of r fit into the free capacity of c.
 func (r *Request) Fit(c *Candidate) int { return r.fit(c, c.Free) }
 
+// FitIn returns how many tasks of r would fit on c if the given capacity were free.
+func (r *Request) FitIn(c *Candidate, free jobspec.Resources) int { return r.fit(c, free) }
+
 // fitEmpty returns how many tasks of r would fit on c if it were empty.
 func (r *Request) fitEmpty(c *Candidate) int { return r.fit(c, c.Capacity) }
 
