coordinator: preempt the lowest priority first

Cause: all work that is not urgent was one class, in which the work lost by stopping decided. A gang that has just begun loses next to nothing, although its workers were kept free for it for seconds.

What urgent work needs is now looked for among the work of the lowest priority, then of the next one too, and so on; within them the cost decides as before.

TestLowestPriorityIsPreemptedFirst: two of four gangs of priority 1 were displaced, with enough work of priority 2 beside them; none now.

--- a/internal/scheduling/coordinator/load_test.go
+++ b/internal/scheduling/coordinator/load_test.go
@@ -205,3 +205,27 @@
 		}
 	}
 }
+
+// Scenario: urgent gangs arrive on workers on which gangs of priority 1 and single tasks of
+// priority 2 run. There is enough work of priority 2 to make room, and that of priority 1 must
+// go on.
+func TestLowestPriorityIsPreemptedFirst(t *testing.T) {
+	p := simulation.Scenario{Workers: 32, Configuration: configuration(256)}
+	for i := range 16 {
+		p.Jobs = append(p.Jobs, simulation.Arrival{At: 1000, Spec: batch(fmt.Sprintf("b%02d", i), 8, 20_000)})
+	}
+	for i := range 4 {
+		p.Jobs = append(p.Jobs, simulation.Arrival{At: 3000, Spec: gang(fmt.Sprintf("gang%d", i), 4, 8, 20_000, 1)})
+	}
+	for i := range 8 {
+		p.Jobs = append(p.Jobs, simulation.Arrival{At: int64(3200 + 100*i), Spec: gang(fmt.Sprintf("urgent%d", i), 2, 8, 2000, 0)})
+	}
+	for _, r := range runScenario(t, p, 120_000).Results() {
+		switch {
+		case strings.HasPrefix(r.ID, "gang"):
+			assert.Equal(t, 4, r.Starts, "%+v", r)
+		case strings.HasPrefix(r.ID, "urgent"):
+			assert.Less(t, r.Waited, int64(1600), "%+v", r)
+		}
+	}
+}
--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -55,6 +55,9 @@
 	refusals      []refusal
 	// now is the time of the pass.
 	now int64
+	// nonUrgentRanks holds the ranks of the work on the workers that is not urgent, the highest
+	// first; nil before they are needed.
+	nonUrgentRanks []int
 	// victimSets holds the possible victims at the start of the pass, by their lowest ranks.
 	victimSets map[minRanks]*victimSet
 }
--- a/internal/scheduling/coordinator/preempt.go
+++ b/internal/scheduling/coordinator/preempt.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -45,22 +46,45 @@
 // noRank is higher than any rank.
 const noRank = math.MaxInt
 
-// preemptableRanks returns what a request may preempt, in the order in which it is tried.
-// Guaranteed work preempts other urgent work only if preempting non-urgent work does not free
-// enough capacity, and lasting work only if preempting all the rest does not. Other urgent
-// work does not preempt lasting work, which nobody owes it.
-func preemptableRanks(r *request) []minRanks {
+// preemptableRanks returns what a request may preempt, in the order in which it is tried: work of
+// the lowest priority first. Guaranteed work preempts other urgent work only if preempting
+// non-urgent work does not free enough capacity, and lasting work only if preempting all the
+// rest does not. Other urgent work does not preempt lasting work, which nobody owes it.
+func (s *State) preemptableRanks(r *request, pool *candidatePool) []minRanks {
+	var ranks []minRanks
+	for _, rank := range s.nonUrgentRanks(pool) {
+		ranks = append(ranks, minRanks{rank, noRank})
+	}
 	if r.rank == rankGuaranteed {
-		return []minRanks{{rankNonUrgent, noRank}, {rankUrgent, noRank}, {rankUrgent, rankNonUrgent}, {rankUrgent, rankUrgent}}
+		ranks = append(ranks, minRanks{rankUrgent, noRank}, minRanks{rankUrgent, rankNonUrgent}, minRanks{rankUrgent, rankUrgent})
+	}
+	return ranks
+}
+
+// nonUrgentRanks returns the ranks of the work on the pool's workers that is not urgent, the
+// highest first.
+func (s *State) nonUrgentRanks(pool *candidatePool) []int {
+	if pool.nonUrgentRanks != nil {
+		return pool.nonUrgentRanks
+	}
+	ranks := []int{rankNonUrgent}
+	for _, w := range pool.workers {
+		for _, a := range w.attempts {
+			if rank := s.rank(a.job); rank > rankNonUrgent && !slices.Contains(ranks, rank) {
+				ranks = append(ranks, rank)
+			}
+		}
 	}
-	return []minRanks{{rankNonUrgent, noRank}}
+	slices.SortFunc(ranks, func(a, b int) int { return cmp.Compare(b, a) })
+	pool.nonUrgentRanks = ranks
+	return ranks
 }
 
 // victimSets returns the sets of victims for a request in the order in which they are tried.
 // Each contains the one before it; those that add nothing are left out.
 func (s *State) victimSets(r *request, pool *candidatePool) []*victimSet {
 	var sets []*victimSet
-	for _, ranks := range preemptableRanks(r) {
+	for _, ranks := range s.preemptableRanks(r, pool) {
 		set := s.victims(pool, ranks)
 		if n := len(sets); n == 0 || len(set.units) > len(sets[n-1].units) {
 			sets = append(sets, set)
