coordinator: poll no more often than the host can carry

A worker without a pending poll can report no end.

Cause: the wait that a poll allows (0.5 s on workers with urgent work, 1 s with other runs) takes no account of the number of workers. With 1,100 of them, polls whose wait runs out take all that polls may take.

A worker that drains is still polled every second, since its leases are short.

--- a/internal/scheduling/coordinator/pacing.go
+++ b/internal/scheduling/coordinator/pacing.go
@@ -77,6 +77,15 @@
 	s.polls.add(s.now, max(link/pollLinkShare, processor/pollProcessorShare))
 }
 
+// leastPollWait returns how long workers must be able to delay their answers, in milliseconds, so
+// that the polls of all workers take at most half of what polls may take. The rest is for polls
+// that answer at once to report ends: while a poll waits for its turn, so does freed capacity.
+func (s *State) leastPollWait() int64 {
+	link, processor := s.callTimes(orderOverhead)
+	each := max(link/pollLinkShare, processor/pollProcessorShare)
+	return min(s.IdlePollWait, int64(2*each*float64(len(s.workers))))
+}
+
 // callTimes returns how long a call of n bytes takes the coordinator's shares of the link
 // and of the processor, in milliseconds.
 func (s *State) callTimes(n int) (link, processor float64) {
--- a/internal/scheduling/coordinator/pacing_test.go
+++ b/internal/scheduling/coordinator/pacing_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -82,3 +83,28 @@
 		}
 	}
 }
+
+// Scenario: urgent work runs on all workers, whose progress is polled every 500 ms, which is more
+// than the coordinator's host can carry. While a poll waits for its turn, its worker can report no
+// end. Ends must still be known soon.
+func TestEndsAreReportedBesideManyPolls(t *testing.T) {
+	p := simulation.Scenario{Workers: 400, Configuration: configuration(0)}
+	p.Coordinator.CallRate = 800
+	for i := range 400 {
+		s := gang(fmt.Sprintf("long%03d", i), 1, 4, 60_000, 0)
+		p.Jobs = append(p.Jobs, simulation.Arrival{At: 3000, Spec: s})
+	}
+	for i := range 60 {
+		p.Jobs = append(p.Jobs, simulation.Arrival{At: int64(12_000 + 200*i), Spec: batch(fmt.Sprintf("short%02d", i), 1, 2000)})
+	}
+	w := simulation.New(p)
+	w.Run(40_000)
+	assert.Empty(t, w.Violations)
+	late := 0
+	for _, r := range w.Results()[400:] {
+		if r.State != jobspec.Completed || r.Took > r.Waited+2000+100 {
+			late++
+		}
+	}
+	assert.Less(t, late, 6, "ends that were recorded late")
+}
--- a/internal/scheduling/coordinator/worker.go
+++ b/internal/scheduling/coordinator/worker.go
@@ -458,10 +458,13 @@
 	case s.mustEndLease(w):
 		// The next poll may extend the lease.
 		return pollRetryInterval
+	case w.Draining:
+		// Its leases are short.
+		return s.PollWait
 	case s.runsUrgent(w):
-		return s.PollWait / 2
+		return max(s.PollWait/2, s.leastPollWait())
 	case len(w.attempts) > 0:
-		return s.PollWait
+		return max(s.PollWait, s.leastPollWait())
 	}
 	return s.IdlePollWait
 }
