coordinator: collect the work that may be preempted once in a pass

A third of BenchmarkBurst/1100Workers went into collecting the possible victims: all runs on all workers, once for each set of ranks, of which all were made before the first was tried.

The units are now collected once in a pass, with cost and freed resources, and the sets are parts of them, made when they are tried.

--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -58,8 +58,10 @@
 	// nonUrgentRanks holds the ranks of the work on the workers that is not urgent, the highest
 	// first; nil before they are needed.
 	nonUrgentRanks []int
-	// victimSets holds the possible victims at the start of the pass, by their lowest ranks.
-	victimSets map[minRanks]*victimSet
+	// preemptable holds the units that could be preempted when they were first needed in the
+	// pass, and victimSets the parts of them by their lowest ranks.
+	preemptable []preemptableUnit
+	victimSets  map[minRanks]*victimSet
 }
 
 // plan runs a scheduling pass: it tries to place all waiting tasks, in the order of
--- a/internal/scheduling/coordinator/preempt.go
+++ b/internal/scheduling/coordinator/preempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"math"
 	"slices"
 
@@ -15,7 +16,7 @@
 	if pool.refused(r, preemptRack, demand.Tasks) {
 		return false
 	}
-	for _, set := range s.victimSets(r, pool) {
+	for set := range s.victimSets(r, pool) {
 		var places, stopped []int
 		bestCost := -1.0
 		for _, rack := range sortedKeys(pool.racks) {
@@ -68,11 +69,9 @@
 		return pool.nonUrgentRanks
 	}
 	ranks := []int{rankNonUrgent}
-	for _, w := range pool.workers {
-		for _, a := range w.attempts {
-			if rank := s.rank(a.job); rank > rankNonUrgent && !slices.Contains(ranks, rank) {
-				ranks = append(ranks, rank)
-			}
+	for _, u := range s.preemptableUnits(pool) {
+		if u.rank > rankNonUrgent && !slices.Contains(ranks, u.rank) {
+			ranks = append(ranks, u.rank)
 		}
 	}
 	slices.SortFunc(ranks, func(a, b int) int { return cmp.Compare(b, a) })
@@ -80,17 +79,22 @@
 	return ranks
 }
 
-// victimSets returns the sets of victims for a request in the order in which they are tried.
+// victimSets yields the sets of victims for a request in the order in which they are tried.
 // Each contains the one before it; those that add nothing are left out.
-func (s *State) victimSets(r *request, pool *candidatePool) []*victimSet {
-	var sets []*victimSet
-	for _, ranks := range s.preemptableRanks(r, pool) {
-		set := s.victims(pool, ranks)
-		if n := len(sets); n == 0 || len(set.units) > len(sets[n-1].units) {
-			sets = append(sets, set)
+func (s *State) victimSets(r *request, pool *candidatePool) iter.Seq[*victimSet] {
+	return func(yield func(*victimSet) bool) {
+		units := 0
+		for _, ranks := range s.preemptableRanks(r, pool) {
+			set := s.victims(pool, ranks)
+			if len(set.units) == units {
+				continue
+			}
+			units = len(set.units)
+			if !yield(set) {
+				return
+			}
 		}
 	}
-	return sets
 }
 
 // preempt places the tasks at indices on the eligible candidates by preempting other
@@ -99,7 +103,7 @@
 	if pool.refused(r, preemptSpread, demand.Tasks) {
 		return
 	}
-	for _, set := range s.victimSets(r, pool) {
+	for set := range s.victimSets(r, pool) {
 		all := make([]int, len(set.victims))
 		for i := range all {
 			all[i] = i
@@ -155,50 +159,71 @@
 	return out
 }
 
-// victims returns the units of the given ranks or higher that may be preempted, the cost and
-// the freed resources of each, and the indices of the units that run on each rack.
-func (s *State) victims(pool *candidatePool, ranks minRanks) *victimSet {
-	if set := pool.victimSets[ranks]; set != nil {
-		return set
+// preemptableUnit is a unit that may be preempted, with its cost and the resources that it frees.
+type preemptableUnit struct {
+	*unit
+	rank   int
+	victim placement.Victim
+	// racks holds the racks on which the unit runs, in the order of the candidates.
+	racks []string
+}
+
+// preemptableUnits returns the units of all ranks that may be preempted.
+func (s *State) preemptableUnits(pool *candidatePool) []preemptableUnit {
+	if pool.preemptable != nil {
+		return pool.preemptable
 	}
-	var units []*unit
-	var victims []placement.Victim
-	positions := make(map[*unit]int)
-	byRack := make(map[string][]int)
+	us := make([]preemptableUnit, 0, len(pool.workers))
+	positions := make(map[*unit]int, len(pool.workers))
 	for i, w := range pool.workers {
 		for _, a := range w.sortedAttempts() {
-			minRank := ranks.ordinary
-			if a.spec().LongRunning {
-				minRank = ranks.lasting
-			}
-			if a.orphan || a.phase == phaseStopping || a.phase == phasePlanned || s.rank(a.job) < minRank || a.job.progress.State.Ended() {
+			if a.orphan || a.phase == phaseStopping || a.phase == phasePlanned || a.job.progress.State.Ended() {
 				continue
 			}
 			n, ok := positions[a.unit]
 			if !ok {
-				n = len(units)
+				n = len(us)
 				positions[a.unit] = n
-				units = append(units, a.unit)
-				victims = append(victims, placement.Victim{
+				us = append(us, preemptableUnit{unit: a.unit, rank: s.rank(a.job), victim: placement.Victim{
 					Cost: restartCost * float64(a.run), Runs: len(a.attempts), Budget: s.stopBudget(a.unit),
-				})
+				}})
 			}
-			victims[n].Add(i, a.need)
-			victims[n].Cost += s.stopCost(a)
-			if indices := byRack[w.rack]; len(indices) == 0 || indices[len(indices)-1] != n {
-				byRack[w.rack] = append(indices, n)
+			u := &us[n]
+			u.victim.Add(i, a.need)
+			u.victim.Cost += s.stopCost(a)
+			if !slices.Contains(u.racks, w.rack) {
+				u.racks = append(u.racks, w.rack)
 			}
 		}
 	}
-	for rack, indices := range byRack {
-		slices.Sort(indices)
-		byRack[rack] = slices.Compact(indices)
+	pool.preemptable = us
+	return us
+}
+
+// victims returns the units of the given ranks or higher that may be preempted.
+func (s *State) victims(pool *candidatePool, ranks minRanks) *victimSet {
+	if set := pool.victimSets[ranks]; set != nil {
+		return set
+	}
+	set := &victimSet{byRack: make(map[string][]int)}
+	for _, u := range s.preemptableUnits(pool) {
+		minRank := ranks.ordinary
+		if u.spec().LongRunning {
+			minRank = ranks.lasting
+		}
+		if u.rank < minRank {
+			continue
+		}
+		for _, rack := range u.racks {
+			set.byRack[rack] = append(set.byRack[rack], len(set.units))
+		}
+		set.units, set.victims = append(set.units, u.unit), append(set.victims, u.victim)
 	}
 	if pool.victimSets == nil {
 		pool.victimSets = make(map[minRanks]*victimSet)
 	}
-	pool.victimSets[ranks] = &victimSet{units: units, victims: victims, byRack: byRack}
-	return pool.victimSets[ranks]
+	pool.victimSets[ranks] = set
+	return set
 }
 
 // stopBudget returns how many runs of u's step may still be preempted in this pass; nil if the
