--- a/internal/scheduling/coordinator/lease.go
+++ b/internal/scheduling/coordinator/lease.go
@@ -89,7 +89,11 @@
 	old, recorded := s.recordedLeases[w.ID]
 	l, ok := s.lease(w)
 	ending := l.Bound != nil && !l.short
-	if !recorded && !ok || recorded && ok && l.sameAs(&old) && !(refresh && ending) {
+	unchanged := !ok
+	if recorded {
+		unchanged = ok && l.sameAs(&old) && (!refresh || !ending)
+	}
+	if unchanged {
 		return
 	}
 	if old.Bound != nil && !old.short && !ending {
--- a/internal/scheduling/coordinator/lease_test.go
+++ b/internal/scheduling/coordinator/lease_test.go
@@ -201,3 +201,33 @@
 	require.NotEmpty(t, x.polls)
 	assert.Positive(t, x.polls[len(x.polls)-1].Order.Lease)
 }
+
+// The time left of a recorded lease counts from the renewal that followed the record if the last
+// coordinator wrote it, and from now if the renewal is missing. Records of earlier terms bound no
+// lease that the last coordinator may have granted.
+func TestPriorLeasesCountFromTheirRenewal(t *testing.T) {
+	bound := &jobstate.WorkerLease{Worker: "w", Left: 4000}
+	c := &jobstate.Claim{Term: 7, RenewedTerm: 7, Renewal: 12, LongLeases: []string{"old"}, Leases: []jobstate.WorkerLease{{Worker: "old", Left: 2000}}}
+	old := jobstate.WorkerLease{Worker: "old", Left: 1020}
+	for _, x := range []struct {
+		name     string
+		recorded jobstate.RecordedLease
+		resigned bool
+		bounded  []jobstate.WorkerLease
+		long     []string
+	}{
+		{"before the claim", jobstate.RecordedLease{Term: 7, Renewal: 12, Bound: bound}, false, []jobstate.WorkerLease{{Worker: "w", Left: 3020}, old}, []string{"old"}},
+		{"after the claim", jobstate.RecordedLease{Term: 7, Renewal: 13, Bound: bound}, false, []jobstate.WorkerLease{*bound, old}, []string{"old"}},
+		{"of an earlier term", jobstate.RecordedLease{Term: 6, Renewal: 12, Bound: bound}, false, []jobstate.WorkerLease{old}, []string{"old"}},
+		{"unseen", jobstate.RecordedLease{Term: 7, Renewal: 12, Long: true, Unseen: true}, false, []jobstate.WorkerLease{old}, []string{"old", "w"}},
+		{
+			"unseen, resigned", jobstate.RecordedLease{Term: 7, Renewal: 12, Long: true, Unseen: true}, true,
+			[]jobstate.WorkerLease{{Worker: "w", Left: 22_000, MaybeUnseen: true}, old}, []string{"old", "w"},
+		},
+	} {
+		c.Resigned = x.resigned
+		bounded, long := coordinator.PriorLeases(c, jobstate.Leases{"w": x.recorded}, 1000, 10_000)
+		assert.Equal(t, x.bounded, bounded, x.name)
+		assert.Equal(t, x.long, long, x.name)
+	}
+}
--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -320,12 +320,8 @@
 			candidate.Excluded, pool.ownExclusions = true, true
 		}
 	}
-	if !useReserved && pool.excludesReserved(r) {
-		for i, res := range pool.reservedBy {
-			if res != nil && res.excludes(r, s.now) {
-				pool.mark(i).Excluded = true
-			}
-		}
+	if !useReserved {
+		pool.markReserved(r)
 	}
 	if s.requiresAdvice(r.job) {
 		pool.ownExclusions = true
--- a/internal/scheduling/coordinator/reservation.go
+++ b/internal/scheduling/coordinator/reservation.go
@@ -145,6 +145,18 @@
 	}
 }
 
+// markReserved excludes the candidates whose reservation excludes r.
+func (pool *candidatePool) markReserved(r *request) {
+	if !pool.excludesReserved(r) {
+		return
+	}
+	for i, res := range pool.reservedBy {
+		if res != nil && res.excludes(r, pool.now) {
+			pool.mark(i).Excluded = true
+		}
+	}
+}
+
 // reservationOf returns the reservation of the gang of a request; nil if it has none.
 func (pool *candidatePool) reservationOf(r *request) *reservation {
 	for _, res := range pool.reservations {
--- a/internal/scheduling/jobstate/odd_test.go
+++ b/internal/scheduling/jobstate/odd_test.go
@@ -49,6 +49,9 @@
 		require.Error(t, d.Apply(jobstate.Record{Key: "t" + id, Value: []byte(v)}), "%.20q", v)
 		require.NotNil(t, d[id])
 		assert.False(t, d[id].Fits(&s), "the tasks are not known")
+		ls := jobstate.Leases{}
+		require.Error(t, ls.Apply(jobstate.Record{Key: "w" + id, Value: []byte(v)}), "%.20q", v)
+		assert.Equal(t, jobstate.RecordedLease{Long: true, Unseen: true}, ls[id], "the lease may be any")
 	}
 }
 
