--- a/internal/host/frontend/details.go
+++ b/internal/host/frontend/details.go
@@ -16,9 +16,10 @@
 const detailsTimeout = 2 * time.Second
 
 // readDetails fences the details partition, which holds the progress of the tasks of
-// open jobs and the recorded leases of workers, against earlier coordinators and reads it. The store returns the partition
-// in parts read at different times; they are consistent, since after the fencing no
-// other coordinator can write.
+// open jobs and the recorded leases of workers, against earlier coordinators and reads it. It
+// returns the details and sets RecordedLeases. The store returns the partition in parts read at
+// different times; they are consistent, since after the fencing no other coordinator can
+// write.
 func (l *leader) readDetails(ctx context.Context) (jobstate.Details, error) {
 	ctx, cancel := context.WithTimeout(ctx, detailsTimeout)
 	defer cancel()
--- a/internal/scheduling/coordinator/lease.go
+++ b/internal/scheduling/coordinator/lease.go
@@ -202,7 +202,7 @@
 func (s *State) recordAnswer(w *worker, clock int64) {
 	w.silentSince = 0
 	if s.mustEndLease(w) {
-		// A claim without w lets its lease be extended again.
+		// Once the record of its lease is replaced, the lease may be extended again.
 		s.renewalDue = true
 	}
 	switch {
--- a/internal/scheduling/coordinator/reservation.go
+++ b/internal/scheduling/coordinator/reservation.go
@@ -26,9 +26,9 @@
 
 // reserveForGang reserves candidates for a gang that does not fit into the free
 // capacity, so that smaller requests do not use the capacity up as it becomes free. The
-// candidates are those that are expected to have room first; a gang that needs one rack
-// reserves a whole rack that could hold it. Nothing is reserved before reservationDelay, or if
-// the gang is not expected to meet its deadline.
+// candidates are those that are expected to have room first, on one rack if the gang needs that.
+// Nothing is reserved before reservationDelay, or if the gang is not expected to meet its
+// deadline.
 func (s *State) reserveForGang(r *request, pool *candidatePool, demand *placement.Request, inRack bool) {
 	own := pool.reservationOf(r)
 	if !s.mayReserve(r, pool) || own != nil && s.now < own.chosenAt+reservationInterval {
