coordinator: poll draining workers as often as before

Tasks that stand still there were seen later, and no caller gained.

Draining workers keep the waits that they had; only the waits of others grow with the number of workers.

TestDrainingWorkerIsPolledAsOften: wait 1000 ms instead of 500 before, green now.

--- a/internal/scheduling/coordinator/pacing_test.go
+++ b/internal/scheduling/coordinator/pacing_test.go
@@ -108,3 +108,34 @@
 	}
 	assert.Less(t, late, 6, "ends that were recorded late")
 }
+
+// The leases of a worker that drains are short, so that its polls must not become rarer on a host
+// that carries few calls. Those of other workers do.
+func TestDrainingWorkerIsPolledAsOften(t *testing.T) {
+	for _, draining := range []bool{false, true} {
+		x := &exchange{T: t, now: 1000, state: coordinator.State{Settings: coordinator.Settings{CallRate: 10}, Term: 7}}
+		x.collect(x.state.Start(x.now, x.now, &jobstate.Table{}, jobstate.Details{}, configuration(0), true))
+		for i := range 20 {
+			x.list(fmt.Sprint("idle", i), lifetime, false)
+		}
+		x.list("w", lifetime, false)
+		x.wait(30_000)
+		x.answerPolls("w", lifetime)
+		urgent := gang("b", 1, 1, 60_000, 0)
+		x.apply(coordinator.Event{Job: &coordinator.JobChanged{Spec: &urgent}})
+		x.wait(5000)
+		x.answerStart(placement.Executed, x.now-lifetime)
+		x.list("w", lifetime, draining)
+		x.wait(1000)
+		x.answerPolls("w", lifetime, placement.Run{Task: jobspec.TaskID{Job: "b"}, Run: 1})
+		x.wait(30_000)
+		require.NotEmpty(t, x.polls)
+		last := x.polls[len(x.polls)-1]
+		require.Equal(t, "w", last.Target.ID)
+		if draining {
+			assert.EqualValues(t, 500, last.Order.Wait)
+		} else {
+			assert.EqualValues(t, 2000, last.Order.Wait)
+		}
+	}
+}
--- a/internal/scheduling/coordinator/worker.go
+++ b/internal/scheduling/coordinator/worker.go
@@ -452,21 +452,23 @@
 
 // pollWait returns how long w may delay its answer to a poll, in milliseconds.
 func (s *State) pollWait(w *worker) int64 {
+	wait := s.IdlePollWait
 	switch {
 	case w.silentSince != 0:
 		return 0
 	case s.mustEndLease(w):
 		// The next poll may extend the lease.
 		return pollRetryInterval
-	case w.Draining:
-		// Its leases are short.
-		return s.PollWait
 	case s.runsUrgent(w):
-		return max(s.PollWait/2, s.leastPollWait())
+		wait = s.PollWait / 2
 	case len(w.attempts) > 0:
-		return max(s.PollWait, s.leastPollWait())
+		wait = s.PollWait
+	}
+	if w.Draining {
+		// Its leases are short.
+		return wait
 	}
-	return s.IdlePollWait
+	return max(wait, s.leastPollWait())
 }
 
 // runsUrgent reports whether urgent work runs on w. Its progress is polled more often.
