coordinator: log long passes and what events wait

A pass now counts the comparisons of requests with workers, which do not depend on the host, and is logged from 100,000 on. The driver measures the wait and the handling of each event and logs them over 200 ms, at most once a second. No decision depends on either.

--- a/internal/host/frontend/leader.go
+++ b/internal/host/frontend/leader.go
@@ -171,7 +171,7 @@
 	defer cancel()
 	settings := h.currentSettings()
 	l := &leader{
-		Host: h, events: make(chan coordinator.Event, eventBuffer), term: term,
+		Host: h, events: make(chan postedEvent, eventBuffer), term: term,
 		jobs: partition{topic: h.Topics.Jobs, sequence: 1}, details: partition{topic: h.Topics.Details},
 		batches: make(chan *coordinator.Record, 1),
 		state: coordinator.State{
@@ -239,11 +239,19 @@
 type leader struct {
 	*Host
 	state   coordinator.State
-	events  chan coordinator.Event
+	events  chan postedEvent
 	batches chan *coordinator.Record
 	term    uint64
 	// jobs and details are the partitions to which the coordinator writes.
 	jobs, details partition
+	// slowEventAt is when a slow event was last logged; 0 for never.
+	slowEventAt int64
+}
+
+// postedEvent is an event that waits for the coordinator since at.
+type postedEvent struct {
+	coordinator.Event
+	at int64
 }
 
 // partition is a partition to which a coordinator writes, with the sequence number of
@@ -256,7 +264,7 @@
 // post passes an event to the coordinator. It drops the event once ctx has ended.
 func (l *leader) post(ctx context.Context, e coordinator.Event) {
 	select {
-	case l.events <- e:
+	case l.events <- postedEvent{Event: e, at: l.now()}:
 	case <-ctx.Done():
 	}
 }
@@ -276,7 +284,7 @@
 		if l.draining.Load() {
 			return true
 		}
-		var e coordinator.Event
+		e := postedEvent{at: l.now()}
 		select {
 		case <-ctx.Done():
 			return true
@@ -284,10 +292,33 @@
 		case e = <-l.events:
 		}
 		e.Now, e.Wall = l.now(), l.Wall().UnixMilli()
-		effects = l.state.Apply(&e)
+		effects = l.state.Apply(&e.Event)
+		l.observeEvent(e.Now-e.at, l.now()-e.Now)
 	}
 }
 
+// observeEvent counts how long an event waited and how long its handling took, in milliseconds,
+// and logs it at most once in slowEventLogInterval if either was long.
+func (l *leader) observeEvent(waited, took int64) {
+	l.Metrics.Observe("eventWait", "", "", waited)
+	l.Metrics.Observe("eventTime", "", "", took)
+	now := l.now()
+	if max(waited, took) < slowEvent || l.slowEventAt != 0 && now < l.slowEventAt+slowEventLogInterval {
+		return
+	}
+	l.slowEventAt = now
+	l.Logger.Warn("coordinator is slow", slog.Uint64("term", l.term), slog.Int64("waitedMs", waited), slog.Int64("tookMs", took),
+		slog.Int("waiting", len(l.events)), slog.Int("stopping", l.state.Stopping()))
+}
+
+const (
+	// slowEvent is the wait of an event or the time of its handling from which on it is logged, in
+	// milliseconds. The claim is renewed by events, and lost after coordinatorTimeout.
+	slowEvent = 200
+	// slowEventLogInterval is the least time between two such lines, in milliseconds.
+	slowEventLogInterval = 1000
+)
+
 // execute starts an effect. Orders and queries run in goroutines of their own.
 func (l *leader) execute(ctx context.Context, e *coordinator.Effect) {
 	switch {
--- a/internal/scheduling/coordinator/attempt.go
+++ b/internal/scheduling/coordinator/attempt.go
@@ -201,6 +201,9 @@
 	}
 	delete(w.attempts, a.taskID())
 	w.sorted = nil
+	if a.phase == phaseStopping {
+		s.stopping--
+	}
 	if w.removed == nil {
 		w.removed = make(map[jobspec.TaskID]removedRun)
 	}
@@ -236,6 +239,7 @@
 	}
 	lost := s.lostWork(a)
 	a.phase, a.stopReason = phaseStopping, why
+	s.stopping++
 	s.log("stopping", slog.String("id", a.job.id), slog.Int("step", a.step), slog.Int("index", a.index),
 		slog.Int("run", a.run), slog.String("worker", a.w.ID), slog.Float64("lostCoreSeconds", math.Round(lost)),
 		slog.String("why", why))
--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -72,6 +72,7 @@
 		return
 	}
 	s.stopBudgets = nil
+	before, stopped := s.examined, s.stopping
 	pools := make(map[string]*candidatePool)
 	for i := range rs {
 		r := &rs[i]
@@ -85,8 +86,16 @@
 		}
 		s.place(r, pool)
 	}
+	if n := s.examined - before; n >= longPass {
+		s.log("long scheduling pass", slog.Int("requests", len(rs)), slog.Int("examined", n), slog.Int("stops", s.stopping-stopped),
+			slog.Int("stopping", s.stopping), slog.Int64("callDelayMs", s.callDelay()))
+	}
 }
 
+// longPass is the number of comparisons of requests with workers in a scheduling pass from which
+// on the pass is logged.
+const longPass = 100_000
+
 // placementAttempt is an attempt to place the waiting tasks of a step: its time and the
 // value of State.capacityGains then.
 type placementAttempt struct {
@@ -366,11 +375,16 @@
 // used up its attempts on other workers.
 const avoidDuration = 5000
 
+// demand returns a request for places whose search is counted in examined.
+func (s *State) demand(step *jobspec.Step, tasks int) *placement.Request {
+	return &placement.Request{Tasks: tasks, Step: step, Examined: &s.examined}
+}
+
 // place tries to place the tasks of a request, and preempts other work for urgent
 // ones. A gang is placed as a whole; the tasks of other steps as far as they fit.
 func (s *State) place(r *request, pool *candidatePool) {
 	step := &r.spec.Steps[r.step]
-	demand := &placement.Request{Tasks: len(r.indices), Step: step}
+	demand := s.demand(step, len(r.indices))
 	if step.Gang {
 		s.placeGang(r, pool, demand)
 		return
@@ -397,7 +411,7 @@
 		}
 	}
 	if rest := r.indices[len(places):]; len(rest) > 0 && r.rank <= rankUrgent {
-		s.preempt(r, pool, rest, &placement.Request{Tasks: len(rest), Step: step}, eligible)
+		s.preempt(r, pool, rest, s.demand(step, len(rest)), eligible)
 	}
 }
 
--- a/internal/scheduling/coordinator/state.go
+++ b/internal/scheduling/coordinator/state.go
@@ -162,6 +162,11 @@
 	// capacityGains counts the changes that may have made capacity available. If it is
 	// unchanged, a placement attempt need not be repeated yet; see skipRetry.
 	capacityGains int64
+	// examined counts the comparisons of requests with workers in all scheduling passes. Their
+	// number is what a pass takes, whatever the host.
+	examined int
+	// stopping is the number of attempts that were ordered to stop and are not over.
+	stopping int
 	// resigned is set once the role has been given up; later events have no effect.
 	resigned bool
 	effects  []Effect
@@ -518,5 +523,12 @@
 	return jobs, attempts, workers
 }
 
+// Examined returns the number of comparisons of requests with workers in all scheduling passes
+// so far, and Stopping the number of runs that were ordered to stop and are not known to be over.
+func (s *State) Examined() int { return s.examined }
+
+// Stopping is described at Examined.
+func (s *State) Stopping() int { return s.stopping }
+
 // target returns the destination of orders for w.
 func (w *worker) target() placement.Target { return placement.Target{ID: w.ID, Address: w.Address} }
--- a/internal/scheduling/coordinator/stranded.go
+++ b/internal/scheduling/coordinator/stranded.go
@@ -74,13 +74,13 @@
 	if demand.Step.Gang {
 		return demand
 	}
-	return &placement.Request{Tasks: 1, Step: demand.Step}
+	return &placement.Request{Tasks: 1, Step: demand.Step, Examined: demand.Examined}
 }
 
 // hasRoomTwice reports whether the free capacity of all workers that r may use, reserved ones
 // included, holds twice what starts together. It marks the candidates accordingly.
 func (s *State) hasRoomTwice(r *request, pool *candidatePool, demand *placement.Request) bool {
-	twice := &placement.Request{Tasks: 2 * startSize(demand).Tasks, Step: demand.Step}
+	twice := s.demand(demand.Step, 2*startSize(demand).Tasks)
 	if pool.refusedAnywhere(r, twice.Tasks) {
 		return false
 	}
--- a/internal/scheduling/placement/candidate.go
+++ b/internal/scheduling/placement/candidate.go
@@ -32,6 +32,8 @@
 type Request struct {
 	Tasks int
 	Step  *jobspec.Step
+	// Examined, if set, is incremented with each comparison of the request with a candidate.
+	Examined *int
 }
 
 // Fit returns how many tasks of r fit into the free capacity of c.
@@ -44,6 +46,9 @@
 func (r *Request) fitEmpty(c *Candidate) int { return r.fit(c, c.Capacity) }
 
 func (r *Request) fit(c *Candidate, free jobspec.Resources) int {
+	if r.Examined != nil {
+		*r.Examined++
+	}
 	if c.Excluded || r.Step.Label != "" && !slices.Contains(c.Labels, r.Step.Label) {
 		return 0
 	}
