--- a/internal/scheduling/coordinator/load_test.go
+++ b/internal/scheduling/coordinator/load_test.go
@@ -229,3 +229,45 @@
 		}
 	}
 }
+
+// burst returns a scenario of a thousand workers full of wide work of a low priority, whose
+// coordinator has the given call rate. Urgent gangs of two organisations arrive for five seconds, a
+// hundred a second; those of one of them, which are returned by ID, are guaranteed.
+func burst(seed uint64, callRate float64) (p simulation.Scenario, guaranteed map[string]bool) {
+	p = simulation.Scenario{Seed: seed, Workers: 1100, Configuration: configuration(8800), NetworkDelay: 40, CallRate: callRate}
+	for i := range 90 {
+		p.Jobs = append(p.Jobs, simulation.Arrival{At: int64(4000 + 50*i), Spec: batch(fmt.Sprintf("b%03d", i), 78, 60_000)})
+	}
+	guaranteed = make(map[string]bool)
+	for i := range 500 {
+		s := gang(fmt.Sprintf("g%03d", i), 2+3*(i%5), 1+int64(i)*5%8, 2500, 0)
+		if i%2 == 0 {
+			s.Organisation = "guest"
+		} else {
+			guaranteed[s.ID] = true
+		}
+		p.Jobs = append(p.Jobs, simulation.Arrival{At: int64(12_000 + 10*i), Spec: s})
+	}
+	return p, guaranteed
+}
+
+// Guards against the loss of the role to the coordinator's own load. Scenario: a burst needs
+// hundreds of stops a second, on a host with four fifths of a core. Long passes and the stops held
+// up the renewals of the claim and the starts, placements were given up for the stops that they
+// waited for, and the next ones stopped other work.
+func TestBurstOfStopsDelaysNoGuaranteedWork(t *testing.T) {
+	p, guaranteed := burst(1, 2960)
+	w := simulation.New(p)
+	w.Run(24_000)
+	assert.Empty(t, w.Violations)
+	assert.Zero(t, w.LogLines["role taken away"])
+	assert.LessOrEqual(t, w.LongestTurn, int64(100), "the longest time for one event in ms")
+	assert.Zero(t, w.LogLines["placement taken back"])
+	late := 0
+	for _, r := range w.Results() {
+		if guaranteed[r.ID] && (r.Waited < 0 || r.Waited > 2700) {
+			late++
+		}
+	}
+	assert.Zero(t, late, "guaranteed jobs that did not start within 2,700 ms")
+}
--- a/internal/scheduling/simulation/cluster.go
+++ b/internal/scheduling/simulation/cluster.go
@@ -24,6 +24,9 @@
 	// that of the claims and renewals, which are not included in it. LargestClaim is the size
 	// of the largest of them.
 	ReplicatedBytes, ClaimBytes, LargestClaim int
+	// LongestTurn is the longest time that a coordinator took for one event, in milliseconds, if
+	// Scenario.CallRate is set.
+	LongestTurn int64
 
 	now        int64
 	queue      eventQueue
--- a/internal/scheduling/simulation/coordinator.go
+++ b/internal/scheduling/simulation/coordinator.go
@@ -27,6 +27,7 @@
 	term    uint64
 	// linkFreeAt is when the link has carried all that was sent, in milliseconds.
 	linkFreeAt float64
+	processor
 	// stopped is set once the coordinator has resigned or died. It then receives no events.
 	stopped bool
 	// suspending is set shortly before the process is suspended, while what it sends does
@@ -129,6 +130,7 @@
 	if !h.suspended {
 		h.apply(coordinator.Event{})
 	}
+	h.cluster.replaceSilent(h)
 	h.cluster.schedule(tickInterval, h.tick)
 }
 
@@ -140,6 +142,10 @@
 		h.queued = append(h.queued, e)
 		return
 	}
+	if h.cluster.CallRate > 0 {
+		h.enqueue(e)
+		return
+	}
 	e.Now, e.Wall = h.cluster.now, h.cluster.now
 	h.execute(h.state.Apply(&e))
 }
--- a/internal/scheduling/simulation/scenario.go
+++ b/internal/scheduling/simulation/scenario.go
@@ -29,6 +29,10 @@
 	// LinkRate is the rate of the coordinator's link, in bytes a second; 0 means that the
 	// link carries everything at once. The coordinator knows the rate.
 	LinkRate float64
+	// CallRate is the number of calls a second that would take all of the coordinator's
+	// processor time; 0 means that nothing takes any. The coordinator knows the rate. It handles
+	// one event after the other, and is replaced if it does not renew its claim in time.
+	CallRate float64
 	// StopTime is how long stopping a run takes; default 300. GangWait is how long the
 	// members of a gang wait for each other; default 3000. CheckpointInterval is the work
 	// between checkpoints; default 1000.
@@ -131,6 +135,9 @@
 	setDefault(&s.MaxLease, 10_000)
 	setDefault(&s.RemoteFactor, 3)
 	s.Coordinator.LinkRate = s.LinkRate
+	if s.CallRate > 0 {
+		s.Coordinator.CallRate = s.CallRate
+	}
 	s.Coordinator.GangWait, s.Coordinator.RemoteFactor = s.GangWait, s.RemoteFactor
 	s.Coordinator.Host, s.Coordinator.Incarnation = "host", "host-1"
 }
