placement: compute the gain of each victim once

Cause: a trial compared every remaining victim with its workers anew for each victim that it chose. Only victims on the workers of the chosen one can have changed. The choice of victims is the same as before, ties included.

--- a/internal/scheduling/placement/preemption.go
+++ b/internal/scheduling/placement/preemption.go
@@ -80,8 +80,14 @@
 	request    *Request
 	candidates []Candidate
 	victims    []trialVictim
-	// fits is the number of tasks that fit on the candidates now.
+	// fits is the number of tasks that fit on the candidates now, and fit that on each of them.
 	fits int
+	fit  []int
+	// ratios holds the gain of stopping each victim relative to its cost, or a negative number if
+	// it has to be computed anew since a victim on the same candidate was stopped.
+	ratios []float64
+	// byCandidate holds the indices of the victims on each candidate.
+	byCandidate [][]int
 	// spent is the part of each budget that the stopped victims use, at most Left.
 	spent map[*StopBudget]int
 }
@@ -101,24 +107,35 @@
 // newTrial returns a trial of the candidates at indices with the eligible victims that free
 // anything there.
 func newTrial(candidates []Candidate, indices []int, r *Request, victims []Victim, eligible []int) *trial {
-	t := &trial{request: r, candidates: make([]Candidate, len(indices)), victims: make([]trialVictim, 0, len(eligible)), spent: make(map[*StopBudget]int)}
-	positions := make(map[int]int, len(indices))
+	t := &trial{
+		request: r, candidates: make([]Candidate, len(indices)), fit: make([]int, len(indices)),
+		byCandidate: make([][]int, len(indices)), victims: make([]trialVictim, 0, len(eligible)), spent: make(map[*StopBudget]int),
+	}
 	for k, i := range indices {
 		t.candidates[k] = candidates[i]
-		positions[i] = k
-		t.fits += r.Fit(&t.candidates[k])
+		t.fit[k] = r.Fit(&t.candidates[k])
+		t.fits += t.fit[k]
 	}
+	// All victims share one slice, since most free capacity on one candidate.
+	frees := make([]FreedCapacity, 0, len(eligible))
 	for _, v := range eligible {
-		w := trialVictim{index: v, cost: victims[v].Cost, runs: victims[v].Runs, budget: victims[v].Budget}
+		first := len(frees)
 		for _, f := range victims[v].Frees {
-			if k, ok := positions[f.Candidate]; ok && !t.candidates[k].Excluded {
-				w.frees = append(w.frees, FreedCapacity{Candidate: k, Resources: f.Resources})
+			if k, ok := slices.BinarySearch(indices, f.Candidate); ok && !t.candidates[k].Excluded {
+				frees = append(frees, FreedCapacity{Candidate: k, Resources: f.Resources})
+				t.byCandidate[k] = append(t.byCandidate[k], len(t.victims))
 			}
 		}
-		if len(w.frees) > 0 {
-			t.victims = append(t.victims, w)
+		if len(frees) > first {
+			t.victims = append(t.victims, trialVictim{
+				index: v, cost: victims[v].Cost, runs: victims[v].Runs, budget: victims[v].Budget, frees: frees[first:len(frees):len(frees)],
+			})
 		}
 	}
+	t.ratios = make([]float64, len(t.victims))
+	for k := range t.ratios {
+		t.ratios[k] = -1
+	}
 	return t
 }
 
@@ -150,9 +167,13 @@
 	t.spent[v.budget] += v.runs
 	for _, f := range v.frees {
 		c := &t.candidates[f.Candidate]
-		before := t.request.Fit(c)
 		c.Free = c.Free.Add(f.Resources)
-		t.fits += t.request.Fit(c) - before
+		before := t.fit[f.Candidate]
+		t.fit[f.Candidate] = t.request.Fit(c)
+		t.fits += t.fit[f.Candidate] - before
+		for _, other := range t.byCandidate[f.Candidate] {
+			t.ratios[other] = -1
+		}
 	}
 }
 
@@ -171,7 +192,7 @@
 		without := t.fits
 		for _, f := range v.frees {
 			c := &t.candidates[f.Candidate]
-			without += t.request.fit(c, c.Free.Sub(f.Resources)) - t.request.Fit(c)
+			without += t.request.fit(c, c.Free.Sub(f.Resources)) - t.fit[f.Candidate]
 		}
 		if without < t.request.Tasks {
 			continue
@@ -181,36 +202,43 @@
 		for _, f := range v.frees {
 			c := &t.candidates[f.Candidate]
 			c.Free = c.Free.Sub(f.Resources)
+			t.fit[f.Candidate] = t.request.Fit(c)
 		}
 	}
 }
 
 // best returns the victim that frees the most places relative to its cost, or -1 if none
-// is left. Freed capacity also counts by itself, with the weight partialGain.
+// is left.
 func (t *trial) best() int {
-	best, bestGain := -1, 0.0
-	need := max(1, t.request.Step.Reserved().Weight())
+	best, bestRatio := -1, 0.0
 	for k := range t.victims {
 		v := &t.victims[k]
 		if v.stopped || v.budget != nil && t.spent[v.budget]+v.runs > v.budget.Left {
 			continue
 		}
-		gain := 0.0
-		for _, f := range v.frees {
-			c := &t.candidates[f.Candidate]
-			gain += float64(t.request.fit(c, c.Free.Add(f.Resources)) - t.request.Fit(c))
-			gain += partialGain * min(1, f.Resources.Weight()/need)
-		}
-		if gain == 0 {
-			continue
+		if t.ratios[k] < 0 {
+			t.ratios[k] = t.ratio(v)
 		}
-		if g := gain / (1 + v.cost); best < 0 || g > bestGain {
-			best, bestGain = k, g
+		if t.ratios[k] > bestRatio {
+			best, bestRatio = k, t.ratios[k]
 		}
 	}
 	return best
 }
 
+// ratio returns the number of places that stopping a victim would free, relative to its cost.
+// Freed capacity also counts by itself, with the weight partialGain.
+func (t *trial) ratio(v *trialVictim) float64 {
+	need := max(1, t.request.Step.Reserved().Weight())
+	gain := 0.0
+	for _, f := range v.frees {
+		c := &t.candidates[f.Candidate]
+		gain += float64(t.request.fit(c, c.Free.Add(f.Resources)) - t.fit[f.Candidate])
+		gain += partialGain * min(1, f.Resources.Weight()/need)
+	}
+	return gain / (1 + v.cost)
+}
+
 // partialGain is the weight of freed capacity relative to an additional place. With it, a
 // victim also counts when several must be stopped together to free one place.
 const partialGain = 0.1
