coordinator: preempt no more than the stops that the host can carry

Cause: stops were sent at once without a limit, for urgent work beyond its guarantee as for guaranteed work, and took the processor from the starts and polls of both. Now stops are accounted for as polls are, against four tenths of what the host carries. Beyond a backlog of 100 ms nothing is preempted for urgent work, beyond 500 ms nothing for guaranteed work either, so that the latter does not wait behind the former. What is not preempted for waits without an order, and is tried again as the backlog is worked off.

--- a/internal/scheduling/coordinator/attempt.go
+++ b/internal/scheduling/coordinator/attempt.go
@@ -258,7 +258,7 @@
 
 // sendStopOrder orders a worker to stop a run.
 func (s *State) sendStopOrder(w *worker, id jobspec.TaskID, run int) {
-	s.charge(orderOverhead)
+	s.chargeStop()
 	s.effects = append(s.effects, Effect{Stop: &Stop{Target: w.target(), Order: placement.Stop{Task: id, Run: run, Token: s.Term, Delay: s.callDelay()}}})
 }
 
--- a/internal/scheduling/coordinator/pacing.go
+++ b/internal/scheduling/coordinator/pacing.go
@@ -8,13 +8,14 @@
 
 // pacing limits the calls that the coordinator makes to what its host's link and
 // processor can carry. Stops and records are always sent at once, since freed capacity
-// depends on them. Start orders, which carry the payload of their job, and polls wait for
-// their turn. Without a limit, answers would miss their timeouts, and the repeated orders
-// would add to the load that delayed them.
+// depends on them; what would need more stops is not placed, see mayPreempt. Start orders,
+// which carry the payload of their job, and polls wait for their turn. Without a limit,
+// answers would miss their timeouts, and the repeated orders would add to the load that
+// delayed them.
 type pacing struct {
-	// link and processor account for all calls, and polls for the part of either that polls
-	// may take.
-	link, processor, polls meter
+	// link and processor account for all calls, and polls and stops for the part of either that
+	// these may take.
+	link, processor, polls, stops meter
 	// queuedUnits holds the units that may start and wait for their turn.
 	queuedUnits []*unit
 	// queuedPolls holds the workers whose poll waits for its turn, in the order in which
@@ -53,6 +54,8 @@
 	// pollLinkShare and pollProcessorShare are the parts of that which polls may take.
 	pollLinkShare      = 0.3
 	pollProcessorShare = 0.5
+	// stopShare is the part of both that stop orders may take.
+	stopShare = 0.4
 	// startBurst and pollBurst are how long the calls that were made may take before
 	// further ones wait, in milliseconds. Both are short against the timeout of an order.
 	startBurst = 150
@@ -61,6 +64,11 @@
 	// that is not urgent is placed any more, in milliseconds. What waits for its start order
 	// takes up capacity that work of a lower rank number could use.
 	maxStartBacklog = 500
+	// maxGuaranteedStopBacklog and maxUrgentStopBacklog are how long the stop orders that were sent
+	// may take until nothing is preempted any more for guaranteed and for other urgent work, in
+	// milliseconds. The difference is what guaranteed work does not wait for.
+	maxGuaranteedStopBacklog = 500
+	maxUrgentStopBacklog     = 100
 )
 
 // charge accounts for a call of n bytes.
@@ -77,6 +85,22 @@
 	s.polls.add(s.now, max(link/pollLinkShare, processor/pollProcessorShare))
 }
 
+// chargeStop accounts for a stop order.
+func (s *State) chargeStop() {
+	s.charge(orderOverhead)
+	link, processor := s.callTimes(orderOverhead)
+	s.stops.add(s.now, max(link, processor)/stopShare)
+}
+
+// mayPreempt reports whether work may be preempted for a request now, so that the stops are
+// executed soon. The ends of those that were sent before are awaited meanwhile.
+func (s *State) mayPreempt(r *request) bool {
+	if r.rank == rankGuaranteed {
+		return s.stops.delay(s.now) < maxGuaranteedStopBacklog
+	}
+	return s.stops.delay(s.now) < maxUrgentStopBacklog
+}
+
 // leastPollWait returns how long workers must be able to delay their answers, in milliseconds, so
 // that the polls of all workers take at most half of what polls may take. The rest is for polls
 // that answer at once to report ends: while a poll waits for its turn, so does freed capacity.
--- a/internal/scheduling/coordinator/preempt.go
+++ b/internal/scheduling/coordinator/preempt.go
@@ -13,7 +13,7 @@
 // preemptInRack places all tasks of a request on one rack by preempting other work, on
 // the rack where this has the lowest cost. It reports whether it found such a rack.
 func (s *State) preemptInRack(r *request, pool *candidatePool, demand *placement.Request) bool {
-	if pool.refused(r, preemptRack, demand.Tasks) {
+	if !s.mayPreempt(r) || pool.refused(r, preemptRack, demand.Tasks) {
 		return false
 	}
 	for set := range s.victimSets(r, pool) {
@@ -100,7 +100,7 @@
 // preempt places the tasks at indices on the eligible candidates by preempting other
 // work, or does nothing if that does not free enough capacity for all of them.
 func (s *State) preempt(r *request, pool *candidatePool, indices []int, demand *placement.Request, eligible []int) {
-	if pool.refused(r, preemptSpread, demand.Tasks) {
+	if !s.mayPreempt(r) || pool.refused(r, preemptSpread, demand.Tasks) {
 		return
 	}
 	for set := range s.victimSets(r, pool) {
