coordinator: await the stops that a placement needs, and use what is becoming free

Cause: the time limit of a placement did not know of the calls before its stops, and the next pass stopped other work while the capacity that was paid for went to whoever came next. A stop order was repeated by the backlog at that time, not by the one that it had been sent behind. Now the limit counts, for each run that is awaited, from when its stop has left the host or was executed, plus what calls wait now. Runs that are being stopped and that nothing waits for are victims that need no order, tried before all others and also while nothing may be preempted. A stop is repeated once the first order has certainly timed out.

--- a/internal/scheduling/coordinator/attempt.go
+++ b/internal/scheduling/coordinator/attempt.go
@@ -39,9 +39,9 @@
 	// queued is set while the start orders wait for their turn.
 	batch                  uint64
 	recorded, sent, queued bool
-	// blockers is the number of preempted attempts that must still end before the unit
-	// may start. placedAt is when the placement was chosen.
-	blockers int
+	// blockers holds the attempts being stopped that must still end before the unit may start.
+	// placedAt is when the placement was chosen.
+	blockers []*attempt
 	placedAt int64
 	// aborted is set once the unit cannot complete any more, as when a member has ended
 	// without success. failureCounted is set once the run has been counted as failed.
@@ -70,9 +70,12 @@
 	// between. startAnsweredAt is when the order was answered or given up; 0 before.
 	maybeUnseen     bool
 	startAnsweredAt int64
-	// sentAt is when the last start order was sent, stopSentAt when the last stop order
-	// was sent, and stoppedAt when the worker reported the stop as executed; 0 for never.
-	sentAt, stopSentAt, stoppedAt int64
+	// sentAt is when the last start order was sent, and stoppedAt when the worker reported the
+	// stop as executed; 0 for never.
+	sentAt, stoppedAt int64
+	// stopDueAt is when the first stop order has left the host, and stopRetryAt when the stop is
+	// ordered again unless it was executed. Both include the calls that were made before.
+	stopDueAt, stopRetryAt int64
 	// startedAt is when the run was first known to be running; 0 before.
 	startedAt int64
 	// percent is the reported progress, first reported at progressedAt. reportedAt is
@@ -122,7 +125,7 @@
 // startUnit queues the start orders of a unit once its placement is recorded and no
 // preempted attempt blocks it.
 func (s *State) startUnit(u *unit) {
-	if u.recorded && u.blockers == 0 && !u.sent && len(u.attempts) > 0 {
+	if u.recorded && len(u.blockers) == 0 && !u.sent && len(u.attempts) > 0 {
 		s.queueUnit(u)
 	}
 }
@@ -180,6 +183,10 @@
 func (s *State) withdrawUnit(u *unit, why string) {
 	s.log("placement taken back", slog.String("id", u.job.id), slog.Int("step", u.step), slog.Int("run", u.run),
 		slog.String("why", why))
+	for _, b := range u.blockers {
+		b.blockedUnits = slices.DeleteFunc(b.blockedUnits, func(o *unit) bool { return o == u })
+	}
+	u.blockers = nil
 	for _, a := range append([]*attempt(nil), u.attempts...) {
 		s.removeAttempt(a)
 		if t := a.task(); t != nil && t.Phase == jobspec.Placed {
@@ -218,7 +225,7 @@
 		}
 	}
 	for _, waiting := range a.blockedUnits {
-		waiting.blockers--
+		waiting.blockers = slices.DeleteFunc(waiting.blockers, func(b *attempt) bool { return b == a })
 		s.startUnit(waiting)
 	}
 	a.blockedUnits = nil
@@ -238,7 +245,7 @@
 		return
 	}
 	lost := s.lostWork(a)
-	a.phase, a.stopReason = phaseStopping, why
+	a.phase, a.stopReason, a.stopDueAt = phaseStopping, why, s.now+s.callDelay()
 	s.stopping++
 	s.log("stopping", slog.String("id", a.job.id), slog.Int("step", a.step), slog.Int("index", a.index),
 		slog.Int("run", a.run), slog.String("worker", a.w.ID), slog.Float64("lostCoreSeconds", math.Round(lost)),
@@ -249,7 +256,7 @@
 // sendStop sends one stop order. If the worker's address is not known yet, the order is
 // sent by a later retry.
 func (s *State) sendStop(a *attempt) {
-	a.stopSentAt = s.now
+	a.stopRetryAt = s.now + orderRetryInterval + s.callDelay()
 	if a.w.Address == "" {
 		return
 	}
--- a/internal/scheduling/coordinator/load_test.go
+++ b/internal/scheduling/coordinator/load_test.go
@@ -271,3 +271,47 @@
 	}
 	assert.Zero(t, late, "guaranteed jobs that did not start within 2,700 ms")
 }
+
+// fullScenario returns a scenario of 64 workers full of work of a low priority.
+func fullScenario() simulation.Scenario {
+	p := simulation.Scenario{Workers: 64, Configuration: configuration(512)}
+	for i := range 6 {
+		p.Jobs = append(p.Jobs, simulation.Arrival{At: int64(1000 + 1000*i), Spec: batch(fmt.Sprintf("b%d", i), 64, 60_000)})
+	}
+	return p
+}
+
+// Guards against placements that are given up for the time that their own stops take. Scenario: a
+// guaranteed gang needs half of the workers, on a host whose link takes a second and a half for its
+// stop orders. Each time it
+// was given up after 1.5 s, other work was stopped for it.
+func TestPlacementAwaitsItsStops(t *testing.T) {
+	p := fullScenario()
+	p.LinkRate = 60_000
+	p.Jobs = append(p.Jobs, simulation.Arrival{At: 20_000, Spec: gang("gang", 32, 8, 2000, 0)})
+	p.Jobs[len(p.Jobs)-1].Spec.Steps[0].SameRack = false
+	w := runScenario(t, p, 40_000)
+	assert.Zero(t, w.LogLines["placement taken back"])
+	assert.LessOrEqual(t, w.LogLines["stopping"], 32*6)
+	last := w.Results()[len(w.Results())-1]
+	assert.Equal(t, 32, last.Starts, "%+v", last)
+}
+
+// Guards against stops that add to those under way. Scenario: guaranteed gangs that need half of the
+// workers each are cancelled while their stops are executed, and the next one arrives at once. It
+// must wait for the capacity that is becoming free.
+func TestFreedCapacityIsReused(t *testing.T) {
+	p := fullScenario()
+	for i := range 4 {
+		s := gang(fmt.Sprintf("gang%d", i), 32, 8, 2000, 0)
+		s.Steps[0].SameRack = false
+		p.Jobs = append(p.Jobs, simulation.Arrival{At: int64(20_000 + 200*i), Spec: s, CancelAt: int64(20_190 + 200*i)})
+	}
+	p.Jobs[len(p.Jobs)-1].CancelAt = 0
+	p.StopTime = 1000
+	w := runScenario(t, p, 30_000)
+	assert.LessOrEqual(t, w.LogLines["stopping"], 32*6)
+	last := w.Results()[len(w.Results())-1]
+	assert.Equal(t, jobspec.Completed, last.State)
+	assert.Less(t, last.Waited, int64(1600), "%+v", last)
+}
--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -62,6 +62,8 @@
 	// pass, and victimSets the parts of them by their lowest ranks.
 	preemptable []preemptableUnit
 	victimSets  map[minRanks]*victimSet
+	// taken holds the units that were chosen as victims in the pass.
+	taken map[*unit]bool
 }
 
 // plan runs a scheduling pass: it tries to place all waiting tasks, in the order of
@@ -292,7 +294,7 @@
 func (s *State) newPool(service string) *candidatePool {
 	pool := &candidatePool{
 		now: s.now, workers: make([]*worker, 0, len(s.workers)), candidates: make([]placement.Candidate, 0, len(s.workers)),
-		indices: make(map[string]int, len(s.workers)),
+		indices: make(map[string]int, len(s.workers)), taken: make(map[*unit]bool),
 	}
 	for _, w := range s.sortedWorkers() {
 		if w.Service != service || s.unschedulable(w) {
@@ -542,11 +544,15 @@
 		chosen[pool.workers[p]] = true
 	}
 	var blockers []*attempt
+	stops := 0
 	for _, v := range victims {
 		for _, a := range v.attempts {
 			if chosen[a.w] {
 				blockers = append(blockers, a)
 			}
+			if a.phase != phaseStopping {
+				stops++
+			}
 		}
 	}
 	run := 0
@@ -576,7 +582,7 @@
 	for _, u := range units {
 		s.unrecordedUnits = append(s.unrecordedUnits, u)
 		for _, a := range blockers {
-			u.blockers++
+			u.blockers = append(u.blockers, a)
 			a.blockedUnits = append(a.blockedUnits, u)
 		}
 	}
@@ -587,7 +593,7 @@
 	s.markDirty(j)
 	s.log("placed", slog.String("id", j.id), slog.Int("step", r.step), slog.Int("tasks", len(indices)),
 		slog.Int("run", units[0].run), slog.Int("rank", r.rank), slog.Int64("waitedMs", s.age(r)),
-		slog.Int64("spareMs", r.laxity), slog.Int("stops", len(blockers)), slog.String("worker", pool.workers[places[0]].ID),
+		slog.Int64("spareMs", r.laxity), slog.Int("stops", stops), slog.Int("awaited", len(blockers)), slog.String("worker", pool.workers[places[0]].ID),
 		slog.Int("workers", len(pool.candidates)))
 	for _, v := range victims {
 		v.aborted = true
--- a/internal/scheduling/coordinator/preempt.go
+++ b/internal/scheduling/coordinator/preempt.go
@@ -13,14 +13,14 @@
 // preemptInRack places all tasks of a request on one rack by preempting other work, on
 // the rack where this has the lowest cost. It reports whether it found such a rack.
 func (s *State) preemptInRack(r *request, pool *candidatePool, demand *placement.Request) bool {
-	if !s.mayPreempt(r) || pool.refused(r, preemptRack, demand.Tasks) {
+	if pool.refused(r, preemptRack, demand.Tasks) {
 		return false
 	}
 	for set := range s.victimSets(r, pool) {
 		var places, stopped []int
 		bestCost := -1.0
 		for _, rack := range sortedKeys(pool.racks) {
-			eligible := set.running(set.byRack[rack])
+			eligible := set.available(set.byRack[rack])
 			if len(eligible) == 0 {
 				continue
 			}
@@ -44,15 +44,23 @@
 	ordinary, lasting int
 }
 
-// noRank is higher than any rank.
-const noRank = math.MaxInt
+const (
+	// rankStopping is the rank of runs that are being stopped already. What waits for their end
+	// needs no further stop.
+	rankStopping = math.MaxInt - 1
+	// noRank is higher than any rank.
+	noRank = math.MaxInt
+)
 
-// preemptableRanks returns what a request may preempt, in the order in which it is tried: work of
-// the lowest priority first. Guaranteed work preempts other urgent work only if preempting
+// preemptableRanks returns what a request may preempt, in the order in which it is tried: what is
+// being stopped already, and then, if mayPreempt holds, work of the lowest priority first. Guaranteed work preempts other urgent work only if preempting
 // non-urgent work does not free enough capacity, and lasting work only if preempting all the
 // rest does not. Other urgent work does not preempt lasting work, which nobody owes it.
 func (s *State) preemptableRanks(r *request, pool *candidatePool) []minRanks {
-	var ranks []minRanks
+	ranks := []minRanks{{rankStopping, rankStopping}}
+	if !s.mayPreempt(r) {
+		return ranks
+	}
 	for _, rank := range s.nonUrgentRanks(pool) {
 		ranks = append(ranks, minRanks{rank, noRank})
 	}
@@ -70,7 +78,7 @@
 	}
 	ranks := []int{rankNonUrgent}
 	for _, u := range s.preemptableUnits(pool) {
-		if u.rank > rankNonUrgent && !slices.Contains(ranks, u.rank) {
+		if u.rank > rankNonUrgent && u.rank != rankStopping && !slices.Contains(ranks, u.rank) {
 			ranks = append(ranks, u.rank)
 		}
 	}
@@ -100,7 +108,7 @@
 // preempt places the tasks at indices on the eligible candidates by preempting other
 // work, or does nothing if that does not free enough capacity for all of them.
 func (s *State) preempt(r *request, pool *candidatePool, indices []int, demand *placement.Request, eligible []int) {
-	if !s.mayPreempt(r) || pool.refused(r, preemptSpread, demand.Tasks) {
+	if pool.refused(r, preemptSpread, demand.Tasks) {
 		return
 	}
 	for set := range s.victimSets(r, pool) {
@@ -108,7 +116,7 @@
 		for i := range all {
 			all[i] = i
 		}
-		places, stopped, _ := placement.PlaceWithPreemption(pool.candidates, eligible, demand, set.victims, set.running(all))
+		places, stopped, _ := placement.PlaceWithPreemption(pool.candidates, eligible, demand, set.victims, set.available(all))
 		if len(places) == demand.Tasks {
 			s.commitPlacement(r, pool, indices, places, set.take(stopped))
 			return
@@ -125,6 +133,7 @@
 	out := make([]*unit, 0, len(indices))
 	for _, i := range indices {
 		out = append(out, set.units[i])
+		set.taken[set.units[i]] = true
 		if v := &set.victims[i]; v.Budget != nil {
 			v.Budget.Left -= v.Runs
 		}
@@ -146,13 +155,15 @@
 	units   []*unit
 	victims []placement.Victim
 	byRack  map[string][]int
+	// taken is that of the pool.
+	taken map[*unit]bool
 }
 
-// running returns those of the given victims that have not been stopped in this pass.
-func (set *victimSet) running(indices []int) []int {
+// available returns those of the given victims that have not been taken in this pass.
+func (set *victimSet) available(indices []int) []int {
 	out := make([]int, 0, len(indices))
 	for _, i := range indices {
-		if !set.units[i].aborted {
+		if !set.taken[set.units[i]] {
 			out = append(out, i)
 		}
 	}
@@ -177,20 +188,21 @@
 	positions := make(map[*unit]int, len(pool.workers))
 	for i, w := range pool.workers {
 		for _, a := range w.sortedAttempts() {
-			if a.orphan || a.phase == phaseStopping || a.phase == phasePlanned || a.job.progress.State.Ended() {
+			stopping := a.phase == phaseStopping
+			if stopping && !s.freesSoon(a) || !stopping && (a.orphan || a.phase == phasePlanned || a.job.progress.State.Ended()) {
 				continue
 			}
 			n, ok := positions[a.unit]
 			if !ok {
 				n = len(us)
 				positions[a.unit] = n
-				us = append(us, preemptableUnit{unit: a.unit, rank: s.rank(a.job), victim: placement.Victim{
-					Cost: restartCost * float64(a.run), Runs: len(a.attempts), Budget: s.stopBudget(a.unit),
-				}})
+				us = append(us, s.preemptableUnit(a))
 			}
 			u := &us[n]
 			u.victim.Add(i, a.need)
-			u.victim.Cost += s.stopCost(a)
+			if !stopping {
+				u.victim.Cost += s.stopCost(a)
+			}
 			if !slices.Contains(u.racks, w.rack) {
 				u.racks = append(u.racks, w.rack)
 			}
@@ -200,15 +212,31 @@
 	return us
 }
 
+// preemptableUnit returns the unit of a without what its attempts free and cost.
+func (s *State) preemptableUnit(a *attempt) preemptableUnit {
+	if a.phase == phaseStopping {
+		return preemptableUnit{unit: a.unit, rank: rankStopping}
+	}
+	return preemptableUnit{unit: a.unit, rank: s.rank(a.job), victim: placement.Victim{
+		Cost: restartCost * float64(a.run), Runs: len(a.attempts), Budget: s.stopBudget(a.unit),
+	}}
+}
+
+// freesSoon reports whether the capacity of a, which is being stopped, can be given to a request
+// that waits for the end of a: nothing waits for it yet, and it is not overdue.
+func (s *State) freesSoon(a *attempt) bool {
+	return len(a.blockedUnits) == 0 && a.w.silentSince == 0 && !s.stopOverdue(a)
+}
+
 // victims returns the units of the given ranks or higher that may be preempted.
 func (s *State) victims(pool *candidatePool, ranks minRanks) *victimSet {
 	if set := pool.victimSets[ranks]; set != nil {
 		return set
 	}
-	set := &victimSet{byRack: make(map[string][]int)}
+	set := &victimSet{byRack: make(map[string][]int), taken: pool.taken}
 	for _, u := range s.preemptableUnits(pool) {
 		minRank := ranks.ordinary
-		if u.spec().LongRunning {
+		if u.spec().LongRunning && u.rank != rankStopping {
 			minRank = ranks.lasting
 		}
 		if u.rank < minRank {
--- a/internal/scheduling/coordinator/worker.go
+++ b/internal/scheduling/coordinator/worker.go
@@ -593,11 +593,11 @@
 func (s *State) checkAttempt(a *attempt) {
 	switch a.phase {
 	case phaseStopping:
-		if a.stoppedAt == 0 && s.now-a.stopSentAt > orderRetryInterval+s.callDelay() && s.MayIssueOrders() {
+		if a.stoppedAt == 0 && s.now > a.stopRetryAt && s.MayIssueOrders() {
 			s.sendStop(a)
 		}
 	case phasePlanned:
-		if !a.sent && s.now-a.placedAt > maxBlockedTime && a.blockers > 0 {
+		if a == a.attempts[0] && s.now-a.placedAt > maxBlockedTime && slices.ContainsFunc(a.blockers, s.stopOverdue) {
 			s.withdrawUnit(a.unit, "the capacity did not become free in time")
 		}
 	case phaseRunning:
@@ -605,12 +605,19 @@
 	}
 }
 
+// stopOverdue reports whether an attempt that is being stopped should be over by now: its order
+// has left the host, or was executed, maxBlockedTime ago. The report of its end waits behind
+// other calls.
+func (s *State) stopOverdue(a *attempt) bool {
+	return s.now > max(a.stopDueAt, a.stoppedAt)+maxBlockedTime+s.callDelay()+s.polls.delay(s.now)
+}
+
 const (
 	// orderRetryInterval is the time after which a stop order that was not executed is
 	// sent again, in milliseconds. It exceeds the timeout of an order.
 	orderRetryInterval = 600
-	// maxBlockedTime is how long a placement may wait for preempted attempts to end, in
-	// milliseconds. A stop takes some hundred milliseconds.
+	// maxBlockedTime is how long a stop may take until a placement that waits for it is withdrawn,
+	// in milliseconds. A stop takes some hundred milliseconds.
 	maxBlockedTime = 1500
 )
 
