coordinator: compare eight racks at most when making room

Cause: each request was tried on every rack, with every set of victims, and a spread one on all workers, though racks hardly differ and most of what fails has failed for the request before. A request now compares the cost on the first eight racks on which it is possible, those with most room for it first and the others in turn. Spread tasks look at 128 workers first. What failed on a rack is remembered for the pass. Comparisons of victims are counted too.

--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -62,6 +62,10 @@
 	// pass, and victimSets the parts of them by their lowest ranks.
 	preemptable []preemptableUnit
 	victimSets  map[minRanks]*victimSet
+	// rackNames holds the racks in order, and searches counts the searches for racks on which work
+	// may be preempted.
+	rackNames []string
+	searches  int
 	// taken holds the units that were chosen as victims in the pass.
 	taken map[*unit]bool
 }
--- a/internal/scheduling/coordinator/preempt.go
+++ b/internal/scheduling/coordinator/preempt.go
@@ -10,24 +10,37 @@
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/placement"
 )
 
-// preemptInRack places all tasks of a request on one rack by preempting other work, on
-// the rack where this has the lowest cost. It reports whether it found such a rack.
+const (
+	// rackChoices is the number of racks on which room could be made that are compared by cost. The
+	// best of them is close to the best of hundreds, and takes a fraction of the time.
+	rackChoices = 8
+	// spreadWorkers is the number of workers on which room is looked for first when tasks are
+	// spread over any workers.
+	spreadWorkers = 128
+)
+
+// preemptInRack places all tasks of a request on one rack by preempting other work, on the rack
+// where this has the lowest cost, among the first rackChoices in which it is possible. It reports
+// whether it found such a rack.
 func (s *State) preemptInRack(r *request, pool *candidatePool, demand *placement.Request) bool {
 	if pool.refused(r, preemptRack, demand.Tasks) {
 		return false
 	}
+	racks := s.racksByRoom(pool, demand)
 	for set := range s.victimSets(r, pool) {
 		var places, stopped []int
-		bestCost := -1.0
-		for _, rack := range sortedKeys(pool.racks) {
-			eligible := set.available(set.byRack[rack])
-			if len(eligible) == 0 {
+		bestCost, tried := -1.0, 0
+		for _, rack := range racks {
+			p, v, cost := pool.tryVictims(r, set, rack, pool.racks[rack], demand)
+			if len(p) < demand.Tasks {
 				continue
 			}
-			p, v, cost := placement.PlaceWithPreemption(pool.candidates, pool.racks[rack], demand, set.victims, eligible)
-			if len(p) == demand.Tasks && (bestCost < 0 || cost < bestCost) {
+			if bestCost < 0 || cost < bestCost {
 				places, stopped, bestCost = p, v, cost
 			}
+			if tried++; tried == rackChoices {
+				break
+			}
 		}
 		if places != nil {
 			s.commitPlacement(r, pool, r.indices, places, set.take(stopped))
@@ -38,6 +51,50 @@
 	return false
 }
 
+// racksByRoom returns the racks, those on which most tasks of a request fit first. Equal ones are
+// returned in another order each time, so that different racks are used.
+func (s *State) racksByRoom(pool *candidatePool, demand *placement.Request) []string {
+	if pool.rackNames == nil {
+		pool.rackNames = sortedKeys(pool.racks)
+	}
+	pool.searches++
+	first := pool.searches * rackChoices % len(pool.rackNames)
+	racks := append(slices.Clone(pool.rackNames[first:]), pool.rackNames[:first]...)
+	fits := make(map[string]int, len(racks))
+	for _, rack := range racks {
+		for _, i := range pool.racks[rack] {
+			fits[rack] += demand.Fit(&pool.candidates[i])
+		}
+	}
+	slices.SortStableFunc(racks, func(a, b string) int { return cmp.Compare(fits[b], fits[a]) })
+	return racks
+}
+
+// tryVictims looks for places for a request on the candidates at indices, with the victims of a set
+// that run there. where names the candidates; it is a rack or allWorkers. What has failed in the
+// pass is not tried again, since victims and free capacity only become fewer.
+func (pool *candidatePool) tryVictims(r *request, set *victimSet, where string, indices []int, demand *placement.Request) (places, stopped []int, cost float64) {
+	q := pool.refusal(r, preemptSpread, demand.Tasks)
+	if slices.ContainsFunc(set.refusals[where], func(f refusal) bool { return f.covers(&q) }) {
+		return nil, nil, 0
+	}
+	eligible := set.byRack[where]
+	if where == allWorkers {
+		eligible = set.all
+	}
+	if eligible = set.available(eligible); len(eligible) == 0 {
+		return nil, nil, 0
+	}
+	places, stopped, cost = placement.PlaceWithPreemption(pool.candidates, indices, demand, set.victims, eligible)
+	if len(places) < demand.Tasks && !pool.ownExclusions && demand.Step.MaxPerWorker == 0 {
+		set.refusals[where] = append(set.refusals[where], q)
+	}
+	return places, stopped, cost
+}
+
+// allWorkers stands for all workers in place of a rack.
+const allWorkers = "*"
+
 // minRanks holds the lowest ranks of the work that may be preempted.
 type minRanks struct {
 	// ordinary is of work that ends by itself, lasting of long-running steps.
@@ -111,22 +168,45 @@
 	if pool.refused(r, preemptSpread, demand.Tasks) {
 		return
 	}
+	everywhere := len(eligible) == len(pool.candidates)
 	for set := range s.victimSets(r, pool) {
-		all := make([]int, len(set.victims))
-		for i := range all {
-			all[i] = i
+		var places, stopped []int
+		if everywhere {
+			places, stopped = s.preemptOnSome(pool, demand, set)
+		}
+		if len(places) < demand.Tasks {
+			places, stopped, _ = pool.tryVictims(r, set, allWorkers, eligible, demand)
 		}
-		places, stopped, _ := placement.PlaceWithPreemption(pool.candidates, eligible, demand, set.victims, set.available(all))
 		if len(places) == demand.Tasks {
 			s.commitPlacement(r, pool, indices, places, set.take(stopped))
 			return
 		}
 	}
-	if len(eligible) == len(pool.candidates) {
+	if everywhere {
 		pool.refuse(r, preemptSpread, demand.Tasks)
 	}
 }
 
+// preemptOnSome looks for places on spreadWorkers workers that change with each search.
+func (s *State) preemptOnSome(pool *candidatePool, demand *placement.Request, set *victimSet) (places, stopped []int) {
+	if len(pool.candidates) < 2*spreadWorkers {
+		return nil, nil
+	}
+	var indices, victims []int
+	for _, rack := range s.racksByRoom(pool, demand) {
+		indices = append(indices, pool.racks[rack]...)
+		victims = append(victims, set.byRack[rack]...)
+		if len(indices) >= spreadWorkers {
+			break
+		}
+	}
+	slices.Sort(indices)
+	slices.Sort(victims)
+	victims = set.available(slices.Compact(victims))
+	places, stopped, _ = placement.PlaceWithPreemption(pool.candidates, indices, demand, set.victims, victims)
+	return places, stopped
+}
+
 // take returns the units of the victims at indices, which are about to be stopped, and takes
 // them from their steps' budgets.
 func (set *victimSet) take(indices []int) []*unit {
@@ -155,6 +235,10 @@
 	units   []*unit
 	victims []placement.Victim
 	byRack  map[string][]int
+	// all holds the indices of all victims.
+	all []int
+	// refusals holds, by rack, what could not be placed there with the victims.
+	refusals map[string][]refusal
 	// taken is that of the pool.
 	taken map[*unit]bool
 }
@@ -233,7 +317,7 @@
 	if set := pool.victimSets[ranks]; set != nil {
 		return set
 	}
-	set := &victimSet{byRack: make(map[string][]int), taken: pool.taken}
+	set := &victimSet{byRack: make(map[string][]int), refusals: make(map[string][]refusal), taken: pool.taken}
 	for _, u := range s.preemptableUnits(pool) {
 		minRank := ranks.ordinary
 		if u.spec().LongRunning && u.rank != rankStopping {
@@ -245,6 +329,7 @@
 		for _, rack := range u.racks {
 			set.byRack[rack] = append(set.byRack[rack], len(set.units))
 		}
+		set.all = append(set.all, len(set.units))
 		set.units, set.victims = append(set.units, u.unit), append(set.victims, u.victim)
 	}
 	if pool.victimSets == nil {
--- a/internal/scheduling/placement/candidate.go
+++ b/internal/scheduling/placement/candidate.go
@@ -32,10 +32,17 @@
 type Request struct {
 	Tasks int
 	Step  *jobspec.Step
-	// Examined, if set, is incremented with each comparison of the request with a candidate.
+	// Examined, if set, counts the comparisons of the request with candidates and victims.
 	Examined *int
 }
 
+// examine counts n comparisons.
+func (r *Request) examine(n int) {
+	if r.Examined != nil {
+		*r.Examined += n
+	}
+}
+
 // Fit returns how many tasks of r fit into the free capacity of c.
 func (r *Request) Fit(c *Candidate) int { return r.fit(c, c.Free) }
 
@@ -46,9 +53,7 @@
 func (r *Request) fitEmpty(c *Candidate) int { return r.fit(c, c.Capacity) }
 
 func (r *Request) fit(c *Candidate, free jobspec.Resources) int {
-	if r.Examined != nil {
-		*r.Examined++
-	}
+	r.examine(1)
 	if c.Excluded || r.Step.Label != "" && !slices.Contains(c.Labels, r.Step.Label) {
 		return 0
 	}
--- a/internal/scheduling/placement/preemption.go
+++ b/internal/scheduling/placement/preemption.go
@@ -132,6 +132,7 @@
 			})
 		}
 	}
+	r.examine(len(eligible))
 	t.ratios = make([]float64, len(t.victims))
 	for k := range t.ratios {
 		t.ratios[k] = -1
@@ -211,6 +212,7 @@
 // is left.
 func (t *trial) best() int {
 	best, bestRatio := -1, 0.0
+	t.request.examine(len(t.victims) / 4)
 	for k := range t.victims {
 		v := &t.victims[k]
 		if v.stopped || v.budget != nil && t.spent[v.budget]+v.runs > v.budget.Left {
