coordinator: bound passes by the time they take, and handle renewals first

Cause: a pass was due again as soon as it had ended, whatever it took, so that the events in between waited; among them those of written batches, after which alone the claim is renewed. What was placed and stopped did not depend on that backlog. Now each event says how long it waited and how long the one before took. A pass is cut after what the last ones achieved in 40 ms, passes take at most a quarter of the time, and after a cut pass what was tried waits for the rest, guaranteed work excepted. Nothing is preempted, and nothing that is not urgent placed, while events wait as long as the limits for stops and starts. Events of written batches are handled before all others. The simulation now charges what a comparison takes with the collection of garbage, and its burst is one that a host of that size can serve: sixty urgent jobs a second beside 450 wide gangs that wait.

--- a/internal/host/frontend/leader.go
+++ b/internal/host/frontend/leader.go
@@ -173,7 +173,7 @@
 	l := &leader{
 		Host: h, events: make(chan postedEvent, eventBuffer), term: term,
 		jobs: partition{topic: h.Topics.Jobs, sequence: 1}, details: partition{topic: h.Topics.Details},
-		batches: make(chan *coordinator.Record, 1),
+		batches: make(chan *coordinator.Record, 1), recorded: make(chan postedEvent, 1),
 		state: coordinator.State{
 			Settings: coordinator.Settings{
 				Lease: min(workerLease, settings.MaxLease), MaxLease: settings.MaxLease, GangWait: settings.GangWait, RemoteFactor: settings.RemoteFactor, RestoreTime: settings.RestoreTime,
@@ -241,7 +241,10 @@
 	state   coordinator.State
 	events  chan postedEvent
 	batches chan *coordinator.Record
-	term    uint64
+	// recorded holds the event that a batch was written. It does not wait behind other events,
+	// since the next renewal of the claim is sent after it.
+	recorded chan postedEvent
+	term     uint64
 	// jobs and details are the partitions to which the coordinator writes.
 	jobs, details partition
 	// slowEventAt is when a slow event was last logged; 0 for never.
@@ -274,7 +277,9 @@
 func (l *leader) run(ctx context.Context, effects []coordinator.Effect) bool {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
+	took := int64(0)
 	for {
+		began := l.now()
 		for i := range effects {
 			if effects[i].Resign != "" {
 				return false
@@ -284,16 +289,36 @@
 		if l.draining.Load() {
 			return true
 		}
-		e := postedEvent{at: l.now()}
-		select {
-		case <-ctx.Done():
+		took += l.now() - began
+		e, ok := l.nextEvent(ctx, tick.C)
+		if !ok {
 			return true
-		case <-tick.C:
-		case e = <-l.events:
 		}
 		e.Now, e.Wall = l.now(), l.Wall().UnixMilli()
+		e.Waited, e.Took = e.Now-e.at, took
 		effects = l.state.Apply(&e.Event)
-		l.observeEvent(e.Now-e.at, l.now()-e.Now)
+		took = l.now() - e.Now
+		l.observeEvent(e.Waited, took)
+	}
+}
+
+// nextEvent returns the next event, that of a written batch before any other. It returns false
+// once ctx has ended.
+func (l *leader) nextEvent(ctx context.Context, tick <-chan time.Time) (postedEvent, bool) {
+	select {
+	case e := <-l.recorded:
+		return e, true
+	default:
+	}
+	select {
+	case <-ctx.Done():
+		return postedEvent{}, false
+	case e := <-l.recorded:
+		return e, true
+	case <-tick:
+		return postedEvent{at: l.now()}, true
+	case e := <-l.events:
+		return e, true
 	}
 }
 
@@ -403,7 +428,11 @@
 				l.post(ctx, coordinator.Event{Replaced: err.Error()})
 				return
 			}
-			l.post(ctx, coordinator.Event{Recorded: &coordinator.Recorded{Batch: b.Batch, SentAt: sent}})
+			select {
+			case l.recorded <- postedEvent{Event: coordinator.Event{Recorded: &coordinator.Recorded{Batch: b.Batch, SentAt: sent}}, at: l.now()}:
+			case <-ctx.Done():
+				return
+			}
 		}
 	}
 }
--- a/internal/scheduling/coordinator/event.go
+++ b/internal/scheduling/coordinator/event.go
@@ -15,6 +15,9 @@
 // of time.
 type Event struct {
 	Now, Wall int64
+	// Waited is how long the event waited to be handled, and Took how long the handling of the
+	// one before it took, its effects included, in milliseconds.
+	Waited, Took int64
 
 	Job           *JobChanged
 	Listed        *placement.Listing
--- a/internal/scheduling/coordinator/load_test.go
+++ b/internal/scheduling/coordinator/load_test.go
@@ -231,22 +231,28 @@
 }
 
 // burst returns a scenario of a thousand workers full of wide work of a low priority, whose
-// coordinator has the given call rate. Urgent gangs of two organisations arrive for five seconds, a
-// hundred a second; those of one of them, which are returned by ID, are guaranteed.
+// coordinator has the given call rate. Wide gangs of priority 1 wait for room. Urgent gangs of two
+// organisations arrive for eight seconds, sixty a second; those of one of them, which are returned by
+// ID, are guaranteed.
 func burst(seed uint64, callRate float64) (p simulation.Scenario, guaranteed map[string]bool) {
 	p = simulation.Scenario{Seed: seed, Workers: 1100, Configuration: configuration(8800), NetworkDelay: 40, CallRate: callRate}
 	for i := range 90 {
 		p.Jobs = append(p.Jobs, simulation.Arrival{At: int64(4000 + 50*i), Spec: batch(fmt.Sprintf("b%03d", i), 78, 60_000)})
 	}
 	guaranteed = make(map[string]bool)
-	for i := range 500 {
+	for i := range 450 {
+		s := gang(fmt.Sprintf("wide%03d", i), 5+i%20, 1+int64(i)%8, 9000, 1)
+		s.Steps[0].Need.Cores, s.Steps[0].Need.Memory = 26_000, 90_000
+		p.Jobs = append(p.Jobs, simulation.Arrival{At: int64(9000 + 10*i), Spec: s})
+	}
+	for i := range 480 {
 		s := gang(fmt.Sprintf("g%03d", i), 2+3*(i%5), 1+int64(i)*5%8, 2500, 0)
 		if i%2 == 0 {
 			s.Organisation = "guest"
 		} else {
 			guaranteed[s.ID] = true
 		}
-		p.Jobs = append(p.Jobs, simulation.Arrival{At: int64(12_000 + 10*i), Spec: s})
+		p.Jobs = append(p.Jobs, simulation.Arrival{At: int64(12_000 + 1000*i/60), Spec: s})
 	}
 	return p, guaranteed
 }
@@ -258,7 +264,7 @@
 func TestBurstOfStopsDelaysNoGuaranteedWork(t *testing.T) {
 	p, guaranteed := burst(1, 2960)
 	w := simulation.New(p)
-	w.Run(24_000)
+	w.Run(26_000)
 	assert.Empty(t, w.Violations)
 	assert.Zero(t, w.LogLines["role taken away"])
 	assert.LessOrEqual(t, w.LongestTurn, int64(100), "the longest time for one event in ms")
@@ -283,8 +289,7 @@
 
 // Guards against placements that are given up for the time that their own stops take. Scenario: a
 // guaranteed gang needs half of the workers, on a host whose link takes a second and a half for its
-// stop orders. Each time it
-// was given up after 1.5 s, other work was stopped for it.
+// stop orders. Each time it was given up after 1.5 s, other work was stopped for it.
 func TestPlacementAwaitsItsStops(t *testing.T) {
 	p := fullScenario()
 	p.LinkRate = 60_000
--- a/internal/scheduling/coordinator/pacing.go
+++ b/internal/scheduling/coordinator/pacing.go
@@ -24,6 +24,15 @@
 	// pendingStarts is the number of attempts that are placed and whose start order was not
 	// sent.
 	pendingStarts int
+	// waited is how long the event being handled has waited.
+	waited int64
+	// passed is set if the last event caused a scheduling pass. passTime is how long the last pass
+	// took, passExamined the number of its comparisons, and passRate that of the comparisons in a
+	// millisecond; 0 if it is not known.
+	passed       bool
+	passTime     int64
+	passExamined int
+	passRate     float64
 }
 
 // meter accounts for work that a resource carries one piece after the other. Times are in
@@ -55,7 +64,7 @@
 	pollLinkShare      = 0.3
 	pollProcessorShare = 0.5
 	// stopShare is the part of both that stop orders may take.
-	stopShare = 0.4
+	stopShare = 0.5
 	// startBurst and pollBurst are how long the calls that were made may take before
 	// further ones wait, in milliseconds. Both are short against the timeout of an order.
 	startBurst = 150
@@ -69,6 +78,14 @@
 	// milliseconds. The difference is what guaranteed work does not wait for.
 	maxGuaranteedStopBacklog = 500
 	maxUrgentStopBacklog     = 100
+	// maxPassTime is how long a scheduling pass may take until it is cut, in milliseconds, and
+	// maxPassShare the share of the time that passes may take. Renewals of the claim, starts and
+	// ends wait meanwhile.
+	maxPassTime  = 40
+	maxPassShare = 0.25
+	// minPassExamined is the number of comparisons that a pass always makes, and from which on its
+	// time tells how long one takes.
+	minPassExamined = 20_000
 )
 
 // charge accounts for a call of n bytes.
@@ -92,13 +109,35 @@
 	s.stops.add(s.now, max(link, processor)/stopShare)
 }
 
+// notePace records how long events wait and how long the last pass took.
+func (s *State) notePace(e *Event) {
+	s.waited = e.Waited
+	if !s.passed {
+		return
+	}
+	s.passed, s.passTime = false, e.Took
+	if s.passExamined >= minPassExamined && e.Took > 0 {
+		s.passRate = float64(s.passExamined) / float64(e.Took)
+	}
+}
+
+// maxExamined returns the number of comparisons after which a scheduling pass is cut, by what the
+// last pass achieved.
+func (s *State) maxExamined() int {
+	if s.passRate == 0 {
+		return math.MaxInt
+	}
+	return max(minPassExamined, int(maxPassTime*s.passRate))
+}
+
 // mayPreempt reports whether work may be preempted for a request now, so that the stops are
-// executed soon. The ends of those that were sent before are awaited meanwhile.
+// executed soon. Answers that wait to be handled count as a backlog too.
 func (s *State) mayPreempt(r *request) bool {
+	backlog := max(s.stops.delay(s.now), s.waited)
 	if r.rank == rankGuaranteed {
-		return s.stops.delay(s.now) < maxGuaranteedStopBacklog
+		return backlog < maxGuaranteedStopBacklog
 	}
-	return s.stops.delay(s.now) < maxUrgentStopBacklog
+	return backlog < maxUrgentStopBacklog
 }
 
 // leastPollWait returns how long workers must be able to delay their answers, in milliseconds, so
@@ -134,7 +173,7 @@
 	if r.rank < rankNonUrgent || each == 0 {
 		return math.MaxInt
 	}
-	left := maxStartBacklog - float64(s.callDelay()) - each*float64(s.pendingStarts)
+	left := maxStartBacklog - float64(max(s.callDelay(), s.waited)) - each*float64(s.pendingStarts)
 	return max(0, int(math.Ceil(left/each)))
 }
 
--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -80,8 +80,14 @@
 	s.stopBudgets = nil
 	before, stopped := s.examined, s.stopping
 	pools := make(map[string]*candidatePool)
+	s.passCut = false
 	for i := range rs {
 		r := &rs[i]
+		if s.examined-before > s.maxExamined() {
+			s.passCut, s.planDue = true, true
+			break
+		}
+		r.noteAttempt(s)
 		pool := pools[r.spec.Service]
 		if pool == nil {
 			pool = s.newPool(r.spec.Service)
@@ -92,8 +98,9 @@
 		}
 		s.place(r, pool)
 	}
-	if n := s.examined - before; n >= longPass {
-		s.log("long scheduling pass", slog.Int("requests", len(rs)), slog.Int("examined", n), slog.Int("stops", s.stopping-stopped),
+	s.passExamined = s.examined - before
+	if n := s.passExamined; n >= longPass {
+		s.log("long scheduling pass", slog.Int("requests", len(rs)), slog.Bool("cut", s.passCut), slog.Int("examined", n), slog.Int("stops", s.stopping-stopped),
 			slog.Int("stopping", s.stopping), slog.Int64("callDelayMs", s.callDelay()))
 	}
 }
@@ -117,23 +124,26 @@
 // that is not urgent, in milliseconds.
 const nonUrgentRetryInterval = 60
 
+// noteAttempt records a placement attempt for r.
+func (r *request) noteAttempt(s *State) {
+	if r.placementAttempts == nil {
+		r.placementAttempts = make(map[jobspec.TaskID]placementAttempt)
+	}
+	r.placementAttempts[stepID(r.job, r.occurrence, r.step)] = placementAttempt{at: s.now, capacityGains: s.capacityGains}
+}
+
 // skipRetry reports whether a placement attempt for r is not worthwhile yet: within
 // placementRetryInterval of the last one, it is repeated only if capacity has become
 // free, and for requests that are not urgent only after nonUrgentRetryInterval. A step that
-// has been idle for too long is not held back. If skipRetry returns false, it records the
-// attempt.
+// has been idle for too long is not held back. After a pass that was cut, what was tried in it
+// waits for the rest, except guaranteed work.
 func (s *State) skipRetry(r *request) bool {
 	step := stepID(r.job, r.occurrence, r.step)
 	last, ok := r.placementAttempts[step]
 	if ok && !s.idleTooLong(r.room[step]) && s.now < last.at+placementRetryInterval {
-		if last.capacityGains == s.capacityGains || r.rank >= rankNonUrgent && s.now < last.at+nonUrgentRetryInterval {
-			return true
-		}
-	}
-	if r.placementAttempts == nil {
-		r.placementAttempts = make(map[jobspec.TaskID]placementAttempt)
+		return last.capacityGains == s.capacityGains || r.rank >= rankNonUrgent && s.now < last.at+nonUrgentRetryInterval ||
+			r.rank > rankGuaranteed && s.passCut
 	}
-	r.placementAttempts[step] = placementAttempt{at: s.now, capacityGains: s.capacityGains}
 	return false
 }
 
--- a/internal/scheduling/coordinator/state.go
+++ b/internal/scheduling/coordinator/state.go
@@ -147,9 +147,10 @@
 	pacing
 
 	// planDue is set when the waiting tasks should be considered again; plannedAt is
-	// the time of the last scheduling pass.
-	planDue   bool
-	plannedAt int64
+	// the time of the last scheduling pass. passCut is set if it ended before all requests were
+	// tried.
+	planDue, passCut bool
+	plannedAt        int64
 	// guaranteesValid is set while the guarantees are applied to the current jobs.
 	guaranteesValid bool
 	// byID holds the workers ordered by ID; nil if it has to be made anew.
@@ -354,6 +355,7 @@
 // has been given up.
 func (s *State) Apply(e *Event) []Effect {
 	s.now, s.wall = max(s.now, e.Now), e.Wall
+	s.notePace(e)
 	switch {
 	case s.resigned:
 		return nil
@@ -395,15 +397,17 @@
 	s.sendQueued()
 	if s.planDue && s.now >= s.plannedAt+s.planInterval() && s.MayIssueOrders() {
 		s.planDue, s.plannedAt = false, s.now
+		s.passed = true
 		s.plan()
 	}
 	s.flush()
 }
 
 // planInterval returns the least time between two scheduling passes, in milliseconds. A
-// pass looks at all workers, so that it takes longer the more there are.
+// pass looks at all workers, so that it takes longer the more there are. Passes take at most
+// maxPassShare of the time, so that events are handled in between.
 func (s *State) planInterval() int64 {
-	return max(s.PlanInterval, int64(len(s.workers)/workersPerPlanMs))
+	return max(s.PlanInterval, int64(len(s.workers)/workersPerPlanMs), int64(float64(s.passTime)/maxPassShare))
 }
 
 // workersPerPlanMs is the number of workers that lengthen the time between two scheduling
--- a/internal/scheduling/coordinator/worker.go
+++ b/internal/scheduling/coordinator/worker.go
@@ -609,7 +609,7 @@
 // has left the host, or was executed, maxBlockedTime ago. The report of its end waits behind
 // other calls.
 func (s *State) stopOverdue(a *attempt) bool {
-	return s.now > max(a.stopDueAt, a.stoppedAt)+maxBlockedTime+s.callDelay()+s.polls.delay(s.now)
+	return s.now > max(a.stopDueAt, a.stoppedAt)+maxBlockedTime+s.callDelay()+s.polls.delay(s.now)+s.waited
 }
 
 const (
--- a/internal/scheduling/simulation/processor.go
+++ b/internal/scheduling/simulation/processor.go
@@ -1,17 +1,24 @@
 package simulation
 
-import "github.com/limpetrelay/limpetrelay/internal/scheduling/coordinator"
+import (
+	"slices"
+
+	"github.com/limpetrelay/limpetrelay/internal/scheduling/coordinator"
+)
 
 // processor handles a coordinator's events one after the other, each for as long as the work that
 // it causes takes. It is used if Scenario.CallRate is set.
 type processor struct {
-	// waiting holds the events that have not been handled, in the order of their arrival.
+	// waiting holds the events that have not been handled, in the order of their arrival, but
+	// recorded batches first, as the driver handles them. Now is when they arrived.
 	waiting []coordinator.Event
 	// busy is set while an event is handled, and tickWaiting while waiting has an event without
 	// content.
 	busy, tickWaiting bool
 	// examined is the value of State.Examined after the last event.
 	examined int
+	// took is how long the last event took, in milliseconds.
+	took int64
 	// fraction is the part of a millisecond that has been worked and not been waited for.
 	fraction float64
 }
@@ -19,7 +26,7 @@
 const (
 	// examinedPerCall is the number of comparisons of a request with a worker that take as much
 	// processor time as a call.
-	examinedPerCall = 10_000
+	examinedPerCall = 4000
 	// eventCalls is what handling an event takes besides, in calls. The answer to a call is one.
 	eventCalls = 0.25
 	// effectCalls is what an order or a record takes until it is sent, in calls.
@@ -35,7 +42,12 @@
 		}
 		h.tickWaiting = true
 	}
-	h.waiting = append(h.waiting, e)
+	e.Now = h.cluster.now
+	if e.Recorded != nil {
+		h.waiting = slices.Insert(h.waiting, 0, e)
+	} else {
+		h.waiting = append(h.waiting, e)
+	}
 	h.handleNext()
 }
 
@@ -46,9 +58,10 @@
 	}
 	e := h.waiting[0]
 	h.waiting = h.waiting[1:]
-	if e == (coordinator.Event{}) {
+	if e == (coordinator.Event{Now: e.Now}) {
 		h.tickWaiting = false
 	}
+	e.Waited, e.Took = h.cluster.now-e.Now, h.took
 	e.Now, e.Wall = h.cluster.now, h.cluster.now
 	effects := h.state.Apply(&e)
 	calls := eventCalls + float64(h.state.Examined()-h.examined)/examinedPerCall
@@ -60,7 +73,8 @@
 	}
 	h.busy = true
 	ms := 1000 * calls / h.cluster.CallRate
-	h.cluster.LongestTurn = max(h.cluster.LongestTurn, int64(ms))
+	h.took = int64(ms)
+	h.cluster.LongestTurn = max(h.cluster.LongestTurn, h.took)
 	h.work(ms, func() {
 		h.busy = false
 		h.execute(effects)
