coordinator: a job that is covered by a guarantee stays so

Cause: which jobs a guarantee covers was determined anew at each change, the oldest first, and an older job whose acceptance is read later, in a burst up to 0.6 s, took the cover of one that was placed. Covered jobs stay covered while the guarantee holds them. So that newer small jobs do not keep an older large one waiting, nothing further is covered while it waits for them only.

--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -265,33 +265,66 @@
 }
 
 // applyGuarantees determines which urgent jobs are covered by the guarantees of their
-// organisations. Older jobs take precedence.
+// organisations. Jobs that are covered stay so: a job whose acceptance is read late must not make
+// preemptable what has been placed. Among the others, older jobs take precedence; while one only
+// waits for newer ones that are covered, no further job is.
 func (s *State) applyGuarantees() {
 	if s.config == nil || s.guaranteesValid {
 		return
 	}
 	s.guaranteesValid = true
+	shares := make(map[string]*guaranteeShare)
 	var urgent []*job
 	for _, j := range s.jobs {
-		j.guaranteed = false
-		if j.spec.Priority == 0 && !j.progress.State.Ended() {
-			urgent = append(urgent, j)
+		o := s.config.Organisations[j.spec.Organisation]
+		if j.spec.Priority != 0 || j.progress.State.Ended() || o == nil {
+			j.guaranteed = false
+			continue
+		}
+		urgent = append(urgent, j)
+		if shares[j.spec.Organisation] == nil {
+			shares[j.spec.Organisation] = &guaranteeShare{left: o.Guaranteed, leftOfOlder: o.Guaranteed}
 		}
 	}
 	slices.SortFunc(urgent, func(a, b *job) int { return cmp.Or(cmp.Compare(a.acceptedAt, b.acceptedAt), cmp.Compare(a.id, b.id)) })
-	used := make(map[string]int64)
 	for _, j := range urgent {
-		o := s.config.Organisations[j.spec.Organisation]
-		if o == nil {
-			continue
+		if share := shares[j.spec.Organisation]; j.guaranteed {
+			j.guaranteed = share.take(j.peakAccelerators())
 		}
-		n := used[o.Name] + j.peakAccelerators()
-		if n <= o.Guaranteed {
-			used[o.Name], j.guaranteed = n, true
+	}
+	for _, j := range urgent {
+		share, n := shares[j.spec.Organisation], j.peakAccelerators()
+		switch {
+		case j.guaranteed:
+		case !share.awaited && share.take(n):
+			j.guaranteed = true
+		default:
+			share.awaited = share.awaited || n <= share.leftOfOlder
+			continue
 		}
+		share.leftOfOlder -= n
 	}
 }
 
+// guaranteeShare is what is left of an organisation's guarantee while it is given to jobs, in
+// accelerators.
+type guaranteeShare struct {
+	// left is what no job is covered by. leftOfOlder is what the jobs that are older than the one
+	// under consideration leave.
+	left, leftOfOlder int64
+	// awaited is set once a job waits for what newer ones are covered by.
+	awaited bool
+}
+
+// take reports whether n accelerators are left, and takes them if so.
+func (g *guaranteeShare) take(n int64) bool {
+	if n > g.left {
+		return false
+	}
+	g.left -= n
+	return true
+}
+
 // peakAccelerators returns the highest number of accelerators that any step of the job
 // needs.
 func (j *job) peakAccelerators() int64 {
