coordinator: time progress by when its reports arrive

Cause: progress was timed by when reports were handled, so that a report that waited longer than the one before it made the time without progress longer: a time without its backlog. Evidence: TestReportThatWaitedShowsNoStall, two reports that arrive within 200 ms: the run is stopped before, not after; without a wait 1.5 s without progress still stop it.

--- a/internal/scheduling/coordinator/attempt.go
+++ b/internal/scheduling/coordinator/attempt.go
@@ -79,7 +79,7 @@
 	// startedAt is when the run was first known to be running; 0 before.
 	startedAt int64
 	// percent is the reported progress, first reported at progressedAt. reportedAt is
-	// when the worker last listed the run.
+	// when the worker last listed the run. Both are when the report arrived.
 	percent                  int
 	progressedAt, reportedAt int64
 	checkpoint               string
--- a/internal/scheduling/coordinator/worker.go
+++ b/internal/scheduling/coordinator/worker.go
@@ -322,15 +322,17 @@
 // updateRunning updates an attempt whose run its worker lists.
 func (s *State) updateRunning(a *attempt, r *placement.Run) {
 	a.lifetime = a.w.currentLifetime
+	// Reports may wait here for different times, which is no time without progress.
+	arrivedAt := s.now - s.waited
 	if r.Checkpoint != "" {
 		a.checkpoint = r.Checkpoint
 	}
 	if a.startedAt == 0 {
-		a.startedAt, a.progressedAt, a.percent = s.now, s.now, r.Percent
+		a.startedAt, a.progressedAt, a.percent = s.now, arrivedAt, r.Percent
 	}
-	a.reportedAt = s.now
+	a.reportedAt = arrivedAt
 	if r.Percent != a.percent {
-		a.percent, a.progressedAt = r.Percent, s.now
+		a.percent, a.progressedAt = r.Percent, arrivedAt
 	}
 	if a.spec().LongRunning && s.atWork(a) && s.now >= max(a.progressedAt, a.w.failedAt)+s.Quarantine {
 		// Lasting runs do not end as done. This one shows as much.
