coordinator: log since when a guarantee covers a job

The line of a placement says since when the job is covered, that of a new job how many accelerators it counts for.

--- a/internal/scheduling/coordinator/jobs.go
+++ b/internal/scheduling/coordinator/jobs.go
@@ -22,7 +22,7 @@
 		j = s.addJob(spec.ID, &jobstate.Job{Spec: &spec}, s.unclaimedDetails[spec.ID])
 		delete(s.unclaimedDetails, spec.ID)
 		s.log("job seen", slog.String("id", j.id), slog.String("organisation", spec.Organisation),
-			slog.String("route", spec.Route), slog.Int("priority", spec.Priority), slog.Int("steps", len(spec.Steps)),
+			slog.String("route", spec.Route), slog.Int("priority", spec.Priority), slog.Int("steps", len(spec.Steps)), slog.Int64("accelerators", j.peakAccelerators()),
 			slog.Int64("objectiveMs", j.deadline-j.acceptedAt))
 		s.planDue = true
 	}
--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -297,7 +297,7 @@
 		switch {
 		case j.guaranteed:
 		case !share.awaited && share.take(n):
-			j.guaranteed = true
+			j.guaranteed, j.guaranteedAt = true, s.now
 		default:
 			share.awaited = share.awaited || n <= share.leftOfOlder
 			continue
@@ -638,8 +638,12 @@
 		j.progress.State = jobspec.Running
 	}
 	s.markDirty(j)
+	guaranteedMs := int64(0)
+	if j.guaranteed {
+		guaranteedMs = s.now - j.guaranteedAt
+	}
 	s.log("placed", slog.String("id", j.id), slog.Int("step", r.step), slog.Int("tasks", len(indices)),
-		slog.Int("run", units[0].run), slog.Int("rank", r.rank), slog.Int64("waitedMs", s.age(r)),
+		slog.Int("run", units[0].run), slog.Int("rank", r.rank), slog.Int64("waitedMs", s.age(r)), slog.Int64("guaranteedMs", guaranteedMs),
 		slog.Int64("spareMs", r.laxity), slog.Int("stops", stops), slog.Int("awaited", len(blockers)), slog.String("worker", pool.workers[places[0]].ID),
 		slog.Int("workers", len(pool.candidates)))
 	for _, v := range victims {
--- a/internal/scheduling/coordinator/state.go
+++ b/internal/scheduling/coordinator/state.go
@@ -192,8 +192,9 @@
 	// avoidedWorkers holds, by step and worker ID, when a task of the step last failed
 	// or stalled on the worker or was rejected there as invalid.
 	avoidedWorkers map[int]map[string]int64
-	// guaranteed is set while the organisation's guarantee covers the job.
-	guaranteed bool
+	// guaranteed is set while the organisation's guarantee covers the job, since guaranteedAt.
+	guaranteed   bool
+	guaranteedAt int64
 	// forgetAt is when the job is forgotten, on the clock of Event.Now; 0 before its end is in
 	// the store.
 	forgetAt int64
