coordinator: a pause in a pass delays no other pass

Found by reading: passes follow each other after four times what the last one took, so that a process that was paused for 9 s during a pass would have placed nothing for the next 36 s. What a pass took counts as 200 ms at most. Evidence: TestPauseInAPassDelaysNoOther, the second job not placed after 1 s before, placed after.

--- a/internal/scheduling/coordinator/pacing.go
+++ b/internal/scheduling/coordinator/pacing.go
@@ -83,6 +83,8 @@
 	// ends wait meanwhile.
 	maxPassTime  = 40
 	maxPassShare = 0.25
+	// longestPass is what a pass counts as at most in that, in milliseconds.
+	longestPass = 200
 	// minPassExamined is the number of comparisons that a pass always makes, and from which on its
 	// time tells how long one takes.
 	minPassExamined = 20_000
@@ -115,7 +117,8 @@
 	if !s.passed {
 		return
 	}
-	s.passed, s.passTime = false, e.Took
+	// The process may have been paused in the pass.
+	s.passed, s.passTime = false, min(e.Took, longestPass)
 	if s.passExamined >= minPassExamined && e.Took > 0 {
 		s.passRate = float64(s.passExamined) / float64(e.Took)
 	}
--- a/internal/scheduling/coordinator/pacing_test.go
+++ b/internal/scheduling/coordinator/pacing_test.go
@@ -139,3 +139,22 @@
 		}
 	}
 }
+
+// A process that is paused during a scheduling pass takes long for it. The next pass must not wait for
+// a multiple of that.
+func TestPauseInAPassDelaysNoOther(t *testing.T) {
+	x := &exchange{T: t, now: 1000, state: coordinator.State{Term: 7}}
+	x.collect(x.state.Start(x.now, x.now, &jobstate.Table{}, jobstate.Details{}, configuration(8), true))
+	x.list("w", lifetime, false)
+	x.wait(500)
+	x.answerPolls("w", lifetime)
+	first, second := batch("first", 1, 1000), batch("second", 1, 1000)
+	x.now += 100
+	x.holdRecords = true
+	x.apply(coordinator.Event{Job: &coordinator.JobChanged{Spec: &first}})
+	x.apply(coordinator.Event{Took: 9000})
+	x.confirmRecords()
+	x.apply(coordinator.Event{Job: &coordinator.JobChanged{Spec: &second}})
+	x.wait(1000)
+	assert.Len(t, x.starts, 2)
+}
--- a/internal/scheduling/coordinator/preempt.go
+++ b/internal/scheduling/coordinator/preempt.go
@@ -110,9 +110,10 @@
 )
 
 // preemptableRanks returns what a request may preempt, in the order in which it is tried: what is
-// being stopped already, and then, if mayPreempt holds, work of the lowest priority first. Guaranteed work preempts other urgent work only if preempting
-// non-urgent work does not free enough capacity, and lasting work only if preempting all the
-// rest does not. Other urgent work does not preempt lasting work, which nobody owes it.
+// being stopped already, and then, if mayPreempt holds, work of the lowest priority first.
+// Guaranteed work preempts other urgent work only if preempting non-urgent work does not free
+// enough capacity, and lasting work only if preempting all the rest does not. Other urgent work
+// does not preempt lasting work, which nobody owes it.
 func (s *State) preemptableRanks(r *request, pool *candidatePool) []minRanks {
 	ranks := []minRanks{{rankStopping, rankStopping}}
 	if !s.mayPreempt(r) {
