--- a/internal/host/frontend/leader.go
+++ b/internal/host/frontend/leader.go
@@ -277,6 +277,7 @@
 func (l *leader) run(ctx context.Context, effects []coordinator.Effect) bool {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
+	// took is how long the last event took to be applied, and its effects to be executed.
 	took := int64(0)
 	for {
 		began := l.now()
--- a/internal/scheduling/coordinator/pacing.go
+++ b/internal/scheduling/coordinator/pacing.go
@@ -26,10 +26,10 @@
 	pendingStarts int
 	// waited is how long the event being handled has waited.
 	waited int64
-	// passed is set if the last event caused a scheduling pass. passTime is how long the last pass
+	// ranPass is set if the last event caused a scheduling pass. passTime is how long the last pass
 	// took, passExamined the number of its comparisons, and passRate that of the comparisons in a
 	// millisecond; 0 if it is not known.
-	passed       bool
+	ranPass      bool
 	passTime     int64
 	passExamined int
 	passRate     float64
@@ -114,11 +114,11 @@
 // notePace records how long events wait and how long the last pass took.
 func (s *State) notePace(e *Event) {
 	s.waited = e.Waited
-	if !s.passed {
+	if !s.ranPass {
 		return
 	}
 	// The process may have been paused in the pass.
-	s.passed, s.passTime = false, min(e.Took, longestPass)
+	s.ranPass, s.passTime = false, min(e.Took, longestPass)
 	if s.passExamined >= minPassExamined && e.Took > 0 {
 		s.passRate = float64(s.passExamined) / float64(e.Took)
 	}
--- a/internal/scheduling/coordinator/state.go
+++ b/internal/scheduling/coordinator/state.go
@@ -398,7 +398,7 @@
 	s.sendQueued()
 	if s.planDue && s.now >= s.plannedAt+s.planInterval() && s.MayIssueOrders() {
 		s.planDue, s.plannedAt = false, s.now
-		s.passed = true
+		s.ranPass = true
 		s.plan()
 	}
 	s.flush()
--- a/internal/scheduling/placement/preemption.go
+++ b/internal/scheduling/placement/preemption.go
@@ -42,7 +42,7 @@
 }
 
 // PlaceWithPreemption returns places for all tasks of r on the candidates at the given
-// indices, and the indices of the victims to stop for them. It selects victims greedily
+// indices, which must be in ascending order, and the indices of the victims to stop for them. It selects victims greedily
 // for a low total cost, among those whose indices are in eligible. It returns nil places
 // when the tasks do not fit even if all of these are stopped.
 func PlaceWithPreemption(candidates []Candidate, indices []int, r *Request, victims []Victim, eligible []int) (places, selected []int, cost float64) {
--- a/internal/scheduling/simulation/processor.go
+++ b/internal/scheduling/simulation/processor.go
@@ -10,7 +10,7 @@
 // it causes takes. It is used if Scenario.CallRate is set.
 type processor struct {
 	// waiting holds the events that have not been handled, in the order of their arrival, but
-	// recorded batches first, as the driver handles them. Now is when they arrived.
+	// recorded batches first, as the driver handles them. Their Now is when they arrived.
 	waiting []coordinator.Event
 	// busy is set while an event is handled, and tickWaiting while waiting has an event without
 	// content.
