coordinator: random faults on slow hosts

The simulation's processor, which only the burst used, runs the random scenarios too: coordinators that handle one event after the other at 200 to 2,000 calls a second.

--- a/internal/scheduling/coordinator/state_test.go
+++ b/internal/scheduling/coordinator/state_test.go
@@ -161,6 +161,24 @@
 	})
 }
 
+// TestRandomFaultsOnSlowHost does the same with coordinators that handle one event after the other, on
+// hosts of which the slowest can barely poll the workers.
+func TestRandomFaultsOnSlowHost(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64Range(0, 1<<40).Draw(rt, "seed")
+		p, end := randomScenario(seed)
+		p.CallRate = float64(rapid.IntRange(200, 2000).Draw(rt, "callRate"))
+		if rapid.IntRange(0, 3).Draw(rt, "disrupted") > 0 {
+			p.Faults = append(p.Faults, randomDisruptions(seed)...)
+		}
+		for _, r := range runScenario(rt, p, end).Results() {
+			if !r.State.Ended() {
+				rt.Fatalf("job %s has not ended: %+v (seed %d)", r.ID, r, seed)
+			}
+		}
+	})
+}
+
 // randomScenario returns a scenario with a random load and random faults, and the time by
 // which its jobs must have ended, long after the last fault.
 func randomScenario(seed uint64) (simulation.Scenario, int64) {
--- a/internal/scheduling/simulation/coordinator.go
+++ b/internal/scheduling/simulation/coordinator.go
@@ -81,6 +81,7 @@
 	for _, e := range queued {
 		h.apply(e)
 	}
+	h.handleNext()
 }
 
 // send calls do when what is sent now leaves the process.
--- a/internal/scheduling/simulation/processor.go
+++ b/internal/scheduling/simulation/processor.go
@@ -53,7 +53,7 @@
 
 // handleNext handles the next event that waits if the processor is free.
 func (h *coordinatorHost) handleNext() {
-	if h.busy || h.stopped || len(h.waiting) == 0 {
+	if h.busy || h.stopped || h.suspended || len(h.waiting) == 0 {
 		return
 	}
 	e := h.waiting[0]
