coordinator: space passes only while events wait

Cause: passes took at most a quarter of the time also when nothing waited in between. A pass is due now once the events that arrived during the last one are handled, and after four times what that took in any case. A tick or a written batch, which are handled before others, does not count as a sign that nothing waits.

--- a/internal/host/frontend/leader.go
+++ b/internal/host/frontend/leader.go
@@ -279,6 +279,7 @@
 	defer tick.Stop()
 	// took is how long the last event took to be applied, and its effects to be executed.
 	took := int64(0)
+	waited := int64(0)
 	for {
 		began := l.now()
 		for i := range effects {
@@ -291,35 +292,38 @@
 			return true
 		}
 		took += l.now() - began
-		e, ok := l.nextEvent(ctx, tick.C)
+		e, queued, ok := l.nextEvent(ctx, tick.C)
 		if !ok {
 			return true
 		}
 		e.Now, e.Wall = l.now(), l.Wall().UnixMilli()
-		e.Waited, e.Took = e.Now-e.at, took
+		if queued || len(l.events) == 0 {
+			waited = e.Now - e.at
+		}
+		e.Waited, e.Took = waited, took
 		effects = l.state.Apply(&e.Event)
 		took = l.now() - e.Now
 		l.observeEvent(e.Waited, took)
 	}
 }
 
-// nextEvent returns the next event, that of a written batch before any other. It returns false
-// once ctx has ended.
-func (l *leader) nextEvent(ctx context.Context, tick <-chan time.Time) (postedEvent, bool) {
+// nextEvent returns the next event, that of a written batch before any other, and whether it has
+// waited for its turn. ok is false once ctx has ended.
+func (l *leader) nextEvent(ctx context.Context, tick <-chan time.Time) (e postedEvent, queued, ok bool) {
 	select {
-	case e := <-l.recorded:
-		return e, true
+	case e = <-l.recorded:
+		return e, false, true
 	default:
 	}
 	select {
 	case <-ctx.Done():
-		return postedEvent{}, false
-	case e := <-l.recorded:
-		return e, true
+		return e, false, false
+	case e = <-l.recorded:
+		return e, false, true
 	case <-tick:
-		return postedEvent{at: l.now()}, true
-	case e := <-l.events:
-		return e, true
+		return postedEvent{at: l.now()}, false, true
+	case e = <-l.events:
+		return e, true, true
 	}
 }
 
--- a/internal/scheduling/coordinator/event.go
+++ b/internal/scheduling/coordinator/event.go
@@ -16,7 +16,8 @@
 type Event struct {
 	Now, Wall int64
 	// Waited is how long the event waited to be handled, and Took how long the handling of the
-	// one before it took, its effects included, in milliseconds.
+	// one before it took, its effects included, in milliseconds. For an event that is handled
+	// before others that wait, Waited is that of the last one that was not.
 	Waited, Took int64
 
 	Job           *JobChanged
--- a/internal/scheduling/coordinator/pacing.go
+++ b/internal/scheduling/coordinator/pacing.go
@@ -78,11 +78,13 @@
 	// milliseconds. The difference is what guaranteed work does not wait for.
 	maxGuaranteedStopBacklog = 500
 	maxUrgentStopBacklog     = 100
-	// maxPassTime is how long a scheduling pass may take until it is cut, in milliseconds, and
-	// maxPassShare the share of the time that passes may take. Renewals of the claim, starts and
+	// maxPassTime is how long a scheduling pass may take until it is cut, in milliseconds. Starts and
 	// ends wait meanwhile.
-	maxPassTime  = 40
-	maxPassShare = 0.25
+	maxPassTime = 40
+	// minPassShare is the share of the time that passes take although events wait for longer than
+	// shortWait, in milliseconds.
+	minPassShare = 0.25
+	shortWait    = 20
 	// longestPass is what a pass counts as at most in that, in milliseconds.
 	longestPass = 200
 	// minPassExamined is the number of comparisons that a pass always makes, and from which on its
--- a/internal/scheduling/coordinator/state.go
+++ b/internal/scheduling/coordinator/state.go
@@ -396,7 +396,7 @@
 // may be sent, and then writes the changes.
 func (s *State) planAndFlush() {
 	s.sendQueued()
-	if s.planDue && s.now >= s.plannedAt+s.planInterval() && s.MayIssueOrders() {
+	if s.planDue && s.mayPlan() && s.MayIssueOrders() {
 		s.planDue, s.plannedAt = false, s.now
 		s.ranPass = true
 		s.plan()
@@ -404,11 +404,20 @@
 	s.flush()
 }
 
+// mayPlan reports whether enough time has passed since the last scheduling pass. The events that
+// arrived in that pass are handled first, unless passes would then take less than minPassShare of
+// the time.
+func (s *State) mayPlan() bool {
+	if s.now < s.plannedAt+s.planInterval() {
+		return false
+	}
+	return s.waited < shortWait || s.now >= s.plannedAt+int64(float64(s.passTime)/minPassShare)
+}
+
 // planInterval returns the least time between two scheduling passes, in milliseconds. A
-// pass looks at all workers, so that it takes longer the more there are. Passes take at most
-// maxPassShare of the time, so that events are handled in between.
+// pass looks at all workers, so that it takes longer the more there are.
 func (s *State) planInterval() int64 {
-	return max(s.PlanInterval, int64(len(s.workers)/workersPerPlanMs), int64(float64(s.passTime)/maxPassShare))
+	return max(s.PlanInterval, int64(len(s.workers)/workersPerPlanMs))
 }
 
 // workersPerPlanMs is the number of workers that lengthen the time between two scheduling
--- a/internal/scheduling/simulation/processor.go
+++ b/internal/scheduling/simulation/processor.go
@@ -17,8 +17,8 @@
 	busy, tickWaiting bool
 	// examined is the value of State.Examined after the last event.
 	examined int
-	// took is how long the last event took, in milliseconds.
-	took int64
+	// waited and took are how long the last event waited and took, in milliseconds.
+	waited, took int64
 	// fraction is the part of a millisecond that has been worked and not been waited for.
 	fraction float64
 }
@@ -61,7 +61,10 @@
 	if e == (coordinator.Event{Now: e.Now}) {
 		h.tickWaiting = false
 	}
-	e.Waited, e.Took = h.cluster.now-e.Now, h.took
+	if e.Recorded == nil || len(h.waiting) == 0 {
+		h.waited = h.cluster.now - e.Now
+	}
+	e.Waited, e.Took = h.waited, h.took
 	e.Now, e.Wall = h.cluster.now, h.cluster.now
 	effects := h.state.Apply(&e)
 	calls := eventCalls + float64(h.state.Examined()-h.examined)/examinedPerCall
