coordinator: pass over urgent requests more often than over all

Passes of all requests now take at most 0.15 of the time, and passes of urgent requests, which are few and short outside of a burst, run in between, for 0.2 of it. What arrived during a pass is handled before the next.

--- a/internal/scheduling/coordinator/pacing.go
+++ b/internal/scheduling/coordinator/pacing.go
@@ -26,15 +26,28 @@
 	pendingStarts int
 	// waited is how long the event being handled has waited.
 	waited int64
-	// ranPass is set if the last event caused a scheduling pass. passTime is how long the last pass
-	// took, passExamined the number of its comparisons, and passRate that of the comparisons in a
-	// millisecond; 0 if it is not known.
-	ranPass      bool
-	passTime     int64
+	// fullPass and urgentPass are the pace of scheduling passes of all requests and of the urgent
+	// ones. lastPass is the one that the last pass was of, and ranPass set if it is the last event
+	// that caused it.
+	fullPass, urgentPass passPace
+	lastPass             *passPace
+	ranPass              bool
+	// passExamined is the number of comparisons of the last pass, and passRate that of the
+	// comparisons in a millisecond; 0 if it is not known.
 	passExamined int
 	passRate     float64
 }
 
+// passPace is when scheduling passes of one kind run. Times are in milliseconds.
+type passPace struct {
+	// at is when the last one began, and took how long it took.
+	at, took int64
+}
+
+// nextAt returns the earliest time of the next pass if passes take at most the given share of the
+// time.
+func (p *passPace) nextAt(share float64) int64 { return p.at + int64(float64(p.took)/share) }
+
 // meter accounts for work that a resource carries one piece after the other. Times are in
 // milliseconds. The zero value is an idle resource.
 type meter struct {
@@ -81,12 +94,12 @@
 	// maxPassTime is how long a scheduling pass may take until it is cut, in milliseconds. Starts and
 	// ends wait meanwhile.
 	maxPassTime = 40
-	// minPassShare is the share of the time that passes take although events wait for longer than
-	// shortWait, in milliseconds.
-	minPassShare = 0.25
-	shortWait    = 20
-	// longestPass is what a pass counts as at most in that, in milliseconds.
-	longestPass = 200
+	// fullPassShare and urgentPassShare are the shares of the time that scheduling passes of all
+	// requests and of the urgent ones may take.
+	fullPassShare   = 0.15
+	urgentPassShare = 0.2
+	// longestPass is what a pass counts as at most in these, in milliseconds.
+	longestPass = 100
 	// minPassExamined is the number of comparisons that a pass always makes, and from which on its
 	// time tells how long one takes.
 	minPassExamined = 20_000
@@ -120,7 +133,7 @@
 		return
 	}
 	// The process may have been paused in the pass.
-	s.ranPass, s.passTime = false, min(e.Took, longestPass)
+	s.ranPass, s.lastPass.took = false, min(e.Took, longestPass)
 	if s.passExamined >= minPassExamined && e.Took > 0 {
 		s.passRate = float64(s.passExamined) / float64(e.Took)
 	}
--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -70,21 +70,22 @@
 	taken map[*unit]bool
 }
 
-// plan runs a scheduling pass: it tries to place all waiting tasks, in the order of
-// requests.
-func (s *State) plan() {
-	rs := s.requests()
+// plan runs a scheduling pass: it tries to place all waiting tasks, or those of urgent jobs, in the
+// order of requests.
+func (s *State) plan(urgentOnly bool) {
+	s.ranPass, s.passExamined = true, 0
+	rs := s.requests(urgentOnly)
 	if len(rs) == 0 {
 		return
 	}
 	s.stopBudgets = nil
 	before, stopped := s.examined, s.stopping
 	pools := make(map[string]*candidatePool)
-	s.passCut = false
+	cut := false
 	for i := range rs {
 		r := &rs[i]
-		if s.examined-before > s.maxExamined() {
-			s.passCut, s.planDue = true, true
+		if cut = s.examined-before > s.maxExamined(); cut {
+			s.planDue = true
 			break
 		}
 		r.noteAttempt(s)
@@ -98,9 +99,12 @@
 		}
 		s.place(r, pool)
 	}
+	if !urgentOnly {
+		s.passCut = cut
+	}
 	s.passExamined = s.examined - before
 	if n := s.passExamined; n >= longPass {
-		s.log("long scheduling pass", slog.Int("requests", len(rs)), slog.Bool("cut", s.passCut), slog.Int("examined", n), slog.Int("stops", s.stopping-stopped),
+		s.log("long scheduling pass", slog.Int("requests", len(rs)), slog.Bool("urgentOnly", urgentOnly), slog.Bool("cut", cut), slog.Int("examined", n), slog.Int("stops", s.stopping-stopped),
 			slog.Int("stopping", s.stopping), slog.Int64("callDelayMs", s.callDelay()))
 	}
 }
@@ -148,13 +152,13 @@
 }
 
 // requests returns a request for each step that has waiting tasks, whose preceding steps
-// are done, and for which a placement attempt is worthwhile. They are ordered by rank;
+// are done, and for which a placement attempt is worthwhile, or only those of urgent jobs. They are ordered by rank;
 // within a rank, those that can still meet their deadline come first, then by deadline.
-func (s *State) requests() []request {
+func (s *State) requests(urgentOnly bool) []request {
 	s.applyGuarantees()
 	var rs []request
 	for _, j := range s.jobs {
-		if j.progress.State.Ended() {
+		if j.progress.State.Ended() || urgentOnly && s.rank(j) > rankUrgent {
 			continue
 		}
 		s.openOccurrences(j)
--- a/internal/scheduling/coordinator/state.go
+++ b/internal/scheduling/coordinator/state.go
@@ -147,10 +147,10 @@
 	pacing
 
 	// planDue is set when the waiting tasks should be considered again; plannedAt is
-	// the time of the last scheduling pass. passCut is set if it ended before all requests were
-	// tried.
-	planDue, passCut bool
-	plannedAt        int64
+	// the time of the last scheduling pass. fullPlanDue is set when those that are not urgent
+	// should be. passCut is set if the last pass of all requests ended before all were tried.
+	planDue, fullPlanDue, passCut bool
+	plannedAt                     int64
 	// guaranteesValid is set while the guarantees are applied to the current jobs.
 	guaranteesValid bool
 	// byID holds the workers ordered by ID; nil if it has to be made anew.
@@ -396,28 +396,45 @@
 // may be sent, and then writes the changes.
 func (s *State) planAndFlush() {
 	s.sendQueued()
-	if s.planDue && s.mayPlan() && s.MayIssueOrders() {
-		s.planDue, s.plannedAt = false, s.now
-		s.ranPass = true
-		s.plan()
+	if s.MayIssueOrders() {
+		switch {
+		case (s.planDue || s.fullPlanDue) && s.mayPlanAll():
+			s.planDue, s.fullPlanDue = false, false
+			s.runPass(&s.fullPass, false)
+		case s.planDue && s.mayPlanUrgent():
+			s.planDue, s.fullPlanDue = false, true
+			s.runPass(&s.urgentPass, true)
+		}
 	}
 	s.flush()
 }
 
-// mayPlan reports whether enough time has passed since the last scheduling pass. The events that
-// arrived in that pass are handled first, unless passes would then take less than minPassShare of
-// the time.
-func (s *State) mayPlan() bool {
-	if s.now < s.plannedAt+s.planInterval() {
-		return false
-	}
-	return s.waited < shortWait || s.now >= s.plannedAt+int64(float64(s.passTime)/minPassShare)
+// runPass runs a scheduling pass, of urgent requests only or of all, and notes it in p.
+func (s *State) runPass(p *passPace, urgentOnly bool) {
+	p.at, s.plannedAt, s.lastPass = s.now, s.now, p
+	s.plan(urgentOnly)
+}
+
+// mayPlanAll reports whether enough time has passed for a scheduling pass of all requests.
+func (s *State) mayPlanAll() bool {
+	return s.now >= s.plannedAt+s.planInterval() && s.now >= s.fullPass.nextAt(fullPassShare)
+}
+
+// mayPlanUrgent reports whether enough time has passed for a scheduling pass of urgent requests,
+// which does not wait for as long as the time of a pass of all requests demands.
+func (s *State) mayPlanUrgent() bool {
+	return s.now >= s.plannedAt+s.planInterval() && s.now >= s.urgentPass.nextAt(urgentPassShare)
 }
 
 // planInterval returns the least time between two scheduling passes, in milliseconds. A
-// pass looks at all workers, so that it takes longer the more there are.
+// pass looks at all workers, so that it takes longer the more there are. What has arrived during a
+// pass is handled before the next.
 func (s *State) planInterval() int64 {
-	return max(s.PlanInterval, int64(len(s.workers)/workersPerPlanMs))
+	d := max(s.PlanInterval, int64(len(s.workers)/workersPerPlanMs))
+	if s.lastPass != nil {
+		d = max(d, 2*s.lastPass.took)
+	}
+	return d
 }
 
 // workersPerPlanMs is the number of workers that lengthen the time between two scheduling
