coordinator: a pass without requests ends what a cut pass began

Found by reading: passCut, while which requests that were tried wait for the rest, stayed set if the next pass of all requests had none, until one had. No test; the state is not visible from outside.

--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -75,6 +75,9 @@
 func (s *State) plan(urgentOnly bool) {
 	s.ranPass, s.passExamined = true, 0
 	rs := s.requests(urgentOnly)
+	if !urgentOnly {
+		s.passCut = false
+	}
 	if len(rs) == 0 {
 		return
 	}
@@ -85,7 +88,7 @@
 	for i := range rs {
 		r := &rs[i]
 		if cut = s.examined-before > s.maxExamined(); cut {
-			s.planDue = true
+			s.planDue, s.passCut = true, s.passCut || !urgentOnly
 			break
 		}
 		r.noteAttempt(s)
@@ -99,13 +102,10 @@
 		}
 		s.place(r, pool)
 	}
-	if !urgentOnly {
-		s.passCut = cut
-	}
 	s.passExamined = s.examined - before
 	if n := s.passExamined; n >= longPass {
-		s.log("long scheduling pass", slog.Int("requests", len(rs)), slog.Bool("urgentOnly", urgentOnly), slog.Bool("cut", cut), slog.Int("examined", n), slog.Int("stops", s.stopping-stopped),
-			slog.Int("stopping", s.stopping), slog.Int64("callDelayMs", s.callDelay()))
+		s.log("long scheduling pass", slog.Int("requests", len(rs)), slog.Bool("urgentOnly", urgentOnly), slog.Bool("cut", cut),
+			slog.Int("examined", n), slog.Int("stops", s.stopping-stopped), slog.Int("stopping", s.stopping), slog.Int64("callDelayMs", s.callDelay()))
 	}
 }
 
