--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -329,6 +329,14 @@
 	return true
 }
 
+// guaranteedFor returns for how long a guarantee has covered the job, in milliseconds.
+func (s *State) guaranteedFor(j *job) int64 {
+	if !j.guaranteed {
+		return 0
+	}
+	return s.now - j.guaranteedAt
+}
+
 // peakAccelerators returns the highest number of accelerators that any step of the job
 // needs.
 func (j *job) peakAccelerators() int64 {
@@ -590,22 +598,7 @@
 	j := r.job
 	step := &j.spec.Steps[r.step]
 	tasks := j.progress.Occurrences[r.occurrence][r.step]
-	chosen := make(map[*worker]bool, len(places))
-	for _, p := range places {
-		chosen[pool.workers[p]] = true
-	}
-	var blockers []*attempt
-	stops := 0
-	for _, v := range victims {
-		for _, a := range v.attempts {
-			if chosen[a.w] {
-				blockers = append(blockers, a)
-			}
-			if a.phase != phaseStopping {
-				stops++
-			}
-		}
-	}
+	blockers, stops := blockersOf(pool, places, victims)
 	run := 0
 	if step.Gang {
 		for i := range tasks {
@@ -642,12 +635,8 @@
 		j.progress.State = jobspec.Running
 	}
 	s.markDirty(j)
-	guaranteedMs := int64(0)
-	if j.guaranteed {
-		guaranteedMs = s.now - j.guaranteedAt
-	}
 	s.log("placed", slog.String("id", j.id), slog.Int("step", r.step), slog.Int("tasks", len(indices)),
-		slog.Int("run", units[0].run), slog.Int("rank", r.rank), slog.Int64("waitedMs", s.age(r)), slog.Int64("guaranteedMs", guaranteedMs),
+		slog.Int("run", units[0].run), slog.Int("rank", r.rank), slog.Int64("waitedMs", s.age(r)), slog.Int64("guaranteedMs", s.guaranteedFor(j)),
 		slog.Int64("spareMs", r.laxity), slog.Int("stops", stops), slog.Int("awaited", len(blockers)), slog.String("worker", pool.workers[places[0]].ID),
 		slog.Int("workers", len(pool.candidates)))
 	for _, v := range victims {
@@ -655,3 +644,23 @@
 		s.stopUnit(v, "displaced for "+j.id)
 	}
 }
+
+// blockersOf returns the attempts of the victims that run on the candidates at places, and how many
+// of the victims' attempts have yet to be stopped.
+func blockersOf(pool *candidatePool, places []int, victims []*unit) (blockers []*attempt, stops int) {
+	chosen := make(map[*worker]bool, len(places))
+	for _, p := range places {
+		chosen[pool.workers[p]] = true
+	}
+	for _, v := range victims {
+		for _, a := range v.attempts {
+			if chosen[a.w] {
+				blockers = append(blockers, a)
+			}
+			if a.phase != phaseStopping {
+				stops++
+			}
+		}
+	}
+	return blockers, stops
+}
