--- a/review/harness-2/cluster.go
+++ b/review/harness-2/cluster.go
@@ -245,6 +245,31 @@
 	return fmt.Errorf("host %s is not ready", h.name)
 }
 
+// killHosts kills the processes of all hosts.
+func (c *cluster) killHosts() {
+	for _, h := range c.hosts {
+		_ = h.cmd.Process.Kill()
+		_ = h.cmd.Wait()
+	}
+	c.notef("all hosts are killed")
+}
+
+// restartHosts starts the processes of all hosts again and waits until they are ready.
+func (c *cluster) restartHosts() error {
+	for _, h := range c.hosts {
+		if err := h.run(c.folder); err != nil {
+			return err
+		}
+	}
+	for _, h := range c.hosts {
+		if err := h.awaitReady(); err != nil {
+			return err
+		}
+	}
+	c.notef("all hosts are ready again")
+	return nil
+}
+
 // close ends all processes and workers.
 func (c *cluster) close() {
 	for _, h := range c.hosts {
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -12,7 +12,7 @@
 
 // cases holds the cases by number.
 var cases = map[string]func(c *cluster, trouble bool) error{
-	"6": manyEnds, "7": lastingEnds, "8": promptCancel, "9": flakyLasting, "10": pendingCount,
+	"6": manyEnds, "7": largeCheckpoints, "8": darkWorker, "9": flakyLasting, "10": pendingCount,
 }
 
 func main() { os.Exit(runCase()) }
--- a/review/harness-2/worker.go
+++ b/review/harness-2/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -9,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -71,6 +73,7 @@
 	capacity    resources
 	c           *cluster
 	server      *http.Server
+	listener    *darkListener
 	born        time.Time
 	// stopped is closed when the worker crashes or the case ends.
 	stopped chan struct{}
@@ -90,12 +93,13 @@
 
 // newWorker starts a worker and registers it.
 func newWorker(c *cluster, id string, capacity resources, labels ...string) (*worker, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		return nil, err
 	}
+	l := &darkListener{TCPListener: tcp, dark: make(chan struct{}), closed: make(chan struct{})}
 	w := &worker{
-		id: id, address: l.Addr().String(), labels: labels, capacity: capacity, c: c, born: time.Now(), stopped: make(chan struct{}),
+		listener: l, id: id, address: l.Addr().String(), labels: labels, capacity: capacity, c: c, born: time.Now(), stopped: make(chan struct{}),
 		runs: make(map[string]*run), ended: make(map[string]int), changed: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
@@ -109,11 +113,63 @@
 	return w, nil
 }
 
+// darkListener is a listener that stops to accept connections once dark is closed.
+type darkListener struct {
+	*net.TCPListener
+	dark, closed chan struct{}
+	once         sync.Once
+}
+
+// Accept implements net.Listener.
+func (l *darkListener) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.Accept()
+	select {
+	case <-l.dark:
+		<-l.closed
+	default:
+	}
+	return c, err
+}
+
+// Close implements net.Listener.
+func (l *darkListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.TCPListener.Close()
+}
+
+// maxQueued bounds the connections that fill the queue of a listener.
+const maxQueued = 16
+
+// goDark makes the worker lose power: open connections go silent, and new ones are not established, since
+// the listener's queue is full. What runs on it ends.
+func (w *worker) goDark() error {
+	close(w.listener.dark)
+	w.once.Do(func() { close(w.stopped) })
+	w.mu.Lock()
+	clear(w.runs)
+	w.mu.Unlock()
+	rc, err := w.listener.SyscallConn()
+	if err != nil {
+		return err
+	}
+	// A second call of listen shortens the queue.
+	if cerr := rc.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) }); cerr != nil || err != nil {
+		return errors.Join(cerr, err)
+	}
+	for range maxQueued {
+		// The connections stay open until the process ends.
+		if _, err := net.DialTimeout("tcp", w.address, 50*time.Millisecond); err != nil {
+			return nil
+		}
+	}
+	return errors.New("connections to a dark worker are still established")
+}
+
 // crash ends the worker without a word. What runs on it ends.
 func (w *worker) crash() {
+	_ = w.server.Close()
 	w.once.Do(func() {
 		close(w.stopped)
-		_ = w.server.Close()
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		clear(w.runs)
@@ -150,6 +206,11 @@
 // writes the answer.
 func (w *worker) handle(f func(r *http.Request, o order) (int, map[string]any)) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
+		select {
+		case <-w.stopped:
+			w.abort(r)
+		default:
+		}
 		if t := r.Header.Get("Target-Instance"); t != "" && t != w.id {
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 			return
@@ -170,6 +231,17 @@
 	}
 }
 
+// abort ends a request without an answer. If the worker is dark, the connection stays open until the
+// caller closes it.
+func (w *worker) abort(r *http.Request) {
+	select {
+	case <-w.listener.dark:
+		<-r.Context().Done()
+	default:
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // admit checks and keeps the generation number of an order, and extends the lease.
 func (w *worker) admit(o order) bool {
 	w.mu.Lock()
@@ -263,9 +335,9 @@
 		case <-wait.C:
 			waiting = false
 		case <-w.stopped:
-			panic(http.ErrAbortHandler)
+			w.abort(r)
 		case <-r.Context().Done():
-			panic(http.ErrAbortHandler)
+			w.abort(r)
 		}
 	}
 }
