coordinator: a run beyond a full list of ends is not taken for lost

Cause: a worker lists at most 500 ends at once, and the next ones only after these are acknowledged, which takes the store. A run that was neither running nor among them counted as lost, and its task was placed again. The same absence ended runs that were being stopped, repeated the starts of runs that a predecessor had placed, and ended those of a restarted worker; a failure beyond the list did not count as an attempt.

Change: the adapter marks a list of 500 ends as one that may lack newer ones, and such a list ends nothing. Its ends count as before, so that the acknowledgements advance and the rest follows. Nothing else waits for it: the worker takes tasks, and lost work on other workers starts again.

--- a/internal/scheduling/coordinator/presumed_test.go
+++ b/internal/scheduling/coordinator/presumed_test.go
@@ -27,8 +27,10 @@
 	polls    []*coordinator.Poll
 	// queries holds the queries to the advisory service.
 	queries []*coordinator.QueryAdvice
-	// ended holds the ends that the next answer to a poll reports.
-	ended []placement.End
+	// ended holds the ends that the next answer to a poll reports. moreEnds is set while the
+	// worker may have further ones.
+	ended    []placement.End
+	moreEnds bool
 	// details holds what was recorded of open jobs. While holdRecords is set, batches are
 	// not confirmed; held is the last of them.
 	details     jobstate.Details
@@ -135,7 +137,7 @@
 			continue
 		}
 		x.apply(coordinator.Event{Polled: &coordinator.Polled{Worker: id, Address: p.Target.Address, Number: p.Number, SentAt: x.now, Reply: placement.PollReply{
-			Reply: placement.Reply{Verdict: placement.Executed, Clock: x.now - lifetime}, Lifetime: lifetime, Running: running, Ended: x.ended,
+			Reply: placement.Reply{Verdict: placement.Executed, Clock: x.now - lifetime}, Lifetime: lifetime, Running: running, Ended: x.ended, MoreEnds: x.moreEnds,
 		}}})
 		x.ended = nil
 	}
@@ -219,16 +221,16 @@
 // unanswerStart reports that the last start order was not answered.
 func (x *exchange) unanswerStart() { x.answerStart(placement.Unanswered, 0) }
 
-// answerStops answers all stop orders that were sent to a worker.
-func (x *exchange) answerStops(id string, clock int64) int {
+// answerStops answers all stop orders that were sent to w.
+func (x *exchange) answerStops(clock int64) int {
 	n := 0
 	sent := x.stops
 	x.stops = nil
 	for _, e := range sent {
-		if e.Target.ID == id {
+		if e.Target.ID == "w" {
 			n++
 			x.apply(coordinator.Event{OrderAnswered: &coordinator.OrderAnswered{
-				Worker: id, Address: e.Target.Address, Task: e.Order.Task, Run: e.Order.Run, IsStop: true, Reply: placement.Reply{Verdict: placement.Executed, Clock: clock},
+				Worker: "w", Address: e.Target.Address, Task: e.Order.Task, Run: e.Order.Run, IsStop: true, Reply: placement.Reply{Verdict: placement.Executed, Clock: clock},
 			}})
 		}
 	}
@@ -279,7 +281,7 @@
 		x.answerPolls("v", 600)
 	}
 	assert.False(t, x.startedElsewhere(), "before the stop")
-	assert.Positive(t, x.answerStops("w", x.now-restart))
+	assert.Positive(t, x.answerStops(x.now-restart))
 	for range 10 {
 		x.wait(100)
 		x.answerPolls("w", restart)
@@ -752,7 +754,7 @@
 	x.answerPolls("v", lifetime)
 	for range 10 {
 		x.answerPolls("w", lifetime)
-		x.answerStops("w", x.now-lifetime)
+		x.answerStops(x.now - lifetime)
 		x.wait(50)
 	}
 	for _, s := range x.starts {
--- a/internal/scheduling/coordinator/state_test.go
+++ b/internal/scheduling/coordinator/state_test.go
@@ -149,6 +149,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64Range(0, 1<<40).Draw(rt, "seed")
 		p, end := randomScenario(seed)
+		p.MaxListedEnds = rapid.SampledFrom([]int{0, 1, 3}).Draw(rt, "maxListedEnds")
 		if rapid.IntRange(0, 3).Draw(rt, "disrupted") > 0 {
 			p.Faults = append(p.Faults, randomDisruptions(seed)...)
 		}
@@ -167,6 +168,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64Range(0, 1<<40).Draw(rt, "seed")
 		p, end := randomScenario(seed)
+		p.MaxListedEnds = rapid.SampledFrom([]int{0, 1, 3}).Draw(rt, "maxListedEnds")
 		p.CallRate = float64(rapid.IntRange(200, 2000).Draw(rt, "callRate"))
 		if rapid.IntRange(0, 3).Draw(rt, "disrupted") > 0 {
 			p.Faults = append(p.Faults, randomDisruptions(seed)...)
--- a/internal/scheduling/coordinator/takeover_test.go
+++ b/internal/scheduling/coordinator/takeover_test.go
@@ -76,7 +76,7 @@
 	x.answerPolls("w", 500)
 	x.wait(1000)
 	assert.Empty(t, x.starts)
-	assert.Positive(t, x.answerStops("w", x.now-500))
+	assert.Positive(t, x.answerStops(x.now-500))
 	x.wait(100)
 	x.answerPolls("w", 500)
 	x.wait(500)
--- a/internal/scheduling/coordinator/worker.go
+++ b/internal/scheduling/coordinator/worker.go
@@ -72,6 +72,8 @@
 	// that may be acknowledged. pendingAcks holds the ends in between.
 	lastEnd, ackedEnd int64
 	pendingAcks       []pendingAck
+	// moreEnds is set while the last list of ends may lack the newest ones.
+	moreEnds bool
 
 	// unschedulableUntil is when the worker may receive new tasks again.
 	unschedulableUntil int64
@@ -200,11 +202,7 @@
 	w.clockReset = false
 	firstList := !w.reconciled
 	w.reconciled = true
-	w.listSentAt = max(w.listSentAt, e.SentAt)
-	for i := range e.Reply.Ended {
-		s.runEnded(w, &e.Reply.Ended[i])
-	}
-	s.reconcile(w, e)
+	s.applyLists(w, e)
 	if firstList {
 		s.planDue = true
 		s.capacityGains++
@@ -221,6 +219,20 @@
 	s.queuePoll(w)
 }
 
+// applyLists applies the worker's lists of ends and of runs.
+func (s *State) applyLists(w *worker, e *Polled) {
+	w.listSentAt = max(w.listSentAt, e.SentAt)
+	if e.Reply.MoreEnds && !w.moreEnds {
+		s.log("list of ends is full", slog.String("worker", w.ID), slog.Int64("lastEnd", w.lastEnd), slog.Int64("ackedEnd", w.ackedEnd),
+			slog.Int("runs", len(w.attempts)))
+	}
+	w.moreEnds = e.Reply.MoreEnds
+	for i := range e.Reply.Ended {
+		s.runEnded(w, &e.Reply.Ended[i])
+	}
+	s.reconcile(w, e)
+}
+
 // pollFailed handles a poll that was not executed.
 func (s *State) pollFailed(w *worker, e *Polled) {
 	switch e.Reply.Verdict {
@@ -287,7 +299,8 @@
 	}
 }
 
-// reconcile compares the worker's list of runs with its attempts.
+// reconcile compares the worker's lists with its attempts. A run that is in neither list has
+// ended only if the list of ends is complete.
 func (s *State) reconcile(w *worker, e *Polled) {
 	running := make(map[jobspec.TaskID]*placement.Run, len(e.Reply.Running))
 	for i := range e.Reply.Running {
@@ -304,7 +317,9 @@
 			s.updateRunning(a, r)
 			continue
 		}
-		s.handleMissing(a, e.SentAt)
+		if !e.Reply.MoreEnds {
+			s.handleMissing(a, e.SentAt)
+		}
 	}
 	for i := range e.Reply.Running {
 		r := &e.Reply.Running[i]
@@ -343,8 +358,8 @@
 	}
 }
 
-// handleMissing handles an attempt that its worker does not list. polledAt is when the
-// list was requested.
+// handleMissing handles an attempt that its worker lists neither as running nor as ended.
+// polledAt is when the lists were requested.
 func (s *State) handleMissing(a *attempt, polledAt int64) {
 	switch a.phase {
 	case phasePlanned, phaseSent:
--- a/internal/scheduling/placement/worker.go
+++ b/internal/scheduling/placement/worker.go
@@ -169,4 +169,7 @@
 	Lifetime int64
 	Running  []Run
 	Ended    []End
+	// MoreEnds is set if Ended may lack the newest ends: a worker lists a limited number at
+	// once, and the next ones after these are acknowledged.
+	MoreEnds bool
 }
--- a/internal/scheduling/simulation/scenario.go
+++ b/internal/scheduling/simulation/scenario.go
@@ -40,6 +40,8 @@
 	// MaxLease is the longest lease that a worker accepts, from the present on its clock;
 	// default 10000.
 	MaxLease int64
+	// MaxListedEnds is the most ends in one answer to a poll; default 500.
+	MaxListedEnds int
 	// Trace is called with a description of each order, start, end and line of a
 	// coordinator's log; nil for none.
 	Trace func(string)
@@ -133,6 +135,7 @@
 	setDefault(&s.GangWait, 3000)
 	setDefault(&s.CheckpointInterval, 1000)
 	setDefault(&s.MaxLease, 10_000)
+	setDefault(&s.MaxListedEnds, 500)
 	setDefault(&s.RemoteFactor, 3)
 	s.Coordinator.LinkRate = s.LinkRate
 	if s.CallRate > 0 {
--- a/internal/scheduling/simulation/worker.go
+++ b/internal/scheduling/simulation/worker.go
@@ -355,7 +355,8 @@
 		w.cluster.checkAcknowledged(w, &w.ends[0])
 		w.ends = w.ends[1:]
 	}
-	reply.Ended = append(reply.Ended, w.ends...)
+	n := min(len(w.ends), w.cluster.MaxListedEnds)
+	reply.Ended, reply.MoreEnds = append(reply.Ended, w.ends[:n]...), n == w.cluster.MaxListedEnds
 	for _, r := range w.sortedRuns() {
 		reply.Running = append(reply.Running, placement.Run{
 			Task: r.task, Run: r.run, Checkpoint: r.checkpoint(false), Percent: int(100 * r.workDone() / max(1, r.total)),
