coordinator: the start of a run that has ended is not taken for refused

Cause: a worker answers a start as old if the run, or a later one, has ended or was stopped there. The answer counted as one that shows that the run never began. A coordinator that has taken over sends the starts of its predecessor's runs again, and the worker may have executed one of them late and ended it in the meantime.

Change: the run is ordered to stop, and a list that is requested after that has its end or shows that there is none, as after a start without an answer.

Evidence: TestRefusedStartOfAnEndedRunIsNotRepeated failed before the change (the task started elsewhere before the next list) and passes; it also requires that the task starts again if the list has no end.

--- a/internal/scheduling/coordinator/attempt.go
+++ b/internal/scheduling/coordinator/attempt.go
@@ -351,6 +351,11 @@
 		}
 		a.w.recordFailure(s, a.job, a.step, "starts are not answered")
 		s.abortUnit(a.unit, "a start was not answered")
+	case placement.Superseded:
+		// The run has ended there or was stopped. A list requested from now on has its end, if there
+		// is one.
+		a.phase = phaseUnconfirmed
+		s.abortUnit(a.unit, "its worker refuses the start as that of an earlier run")
 	default:
 		if a.maybeStarted {
 			// An earlier start order may have been executed, or may still be.
--- a/internal/scheduling/coordinator/fulllist_test.go
+++ b/internal/scheduling/coordinator/fulllist_test.go
@@ -178,3 +178,27 @@
 	assert.NotZero(t, started["w"], "a worker whose list is full takes tasks")
 	assert.NotZero(t, started["v"])
 }
+
+// A worker refuses the start of a run that has ended or was stopped there. The run was taken for one
+// that never started, and its task started again although the run had ended as done.
+func TestRefusedStartOfAnEndedRunIsNotRepeated(t *testing.T) {
+	for _, done := range []bool{true, false} {
+		x := newSuccessor(t)
+		x.list("w", lifetime, false)
+		x.answerPolls("w", lifetime)
+		x.answerPolls("v", lifetime)
+		x.answerStart(placement.Superseded, x.now-lifetime)
+		x.wait(100)
+		assert.False(t, x.startedElsewhere(), "before the next list")
+		x.answerStops(x.now - lifetime)
+		if done {
+			x.ended = []placement.End{{Number: 1, Task: jobspec.TaskID{Job: "b"}, Run: 1, Outcome: placement.EndDone}}
+		}
+		for range 10 {
+			x.wait(100)
+			x.answerPolls("w", lifetime)
+			x.answerPolls("v", lifetime)
+		}
+		assert.Equal(t, !done, len(x.starts) > 1, "after the next list")
+	}
+}
