coordinator: a job is told to run once a run of it has begun

Cause: the progress of a job counted as started once a task was placed. Nothing took that back when the placement was withdrawn, or the start refused or not answered, and a successor went on with it.

Change: it counts as started once a worker shows it: by the answer to a start, a list that has a run of it, or the end of one. A successor tells what its predecessor told, and of what was only placed nothing before the first list. The first placement of a job renews the claim as before, when it had the progress in its batch, so that the number of calls to the store and the time that starts have stay the same.

--- a/internal/scheduling/coordinator/attempt.go
+++ b/internal/scheduling/coordinator/attempt.go
@@ -300,6 +300,9 @@
 	default:
 		s.recordNoAnswer(w, e.Reply)
 	}
+	if !e.IsStop && e.Reply.Verdict == placement.Executed {
+		s.noteStarted(s.jobs[e.Task.Job])
+	}
 	a := w.attempts[e.Task]
 	if a == nil || a.run != e.Run {
 		return
--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -630,10 +630,8 @@
 			a.blockedUnits = append(a.blockedUnits, u)
 		}
 	}
-	j.progress.Started = true
-	if j.progress.State == jobspec.Queued {
-		j.progress.State = jobspec.Running
-	}
+	s.firstPlaced = s.firstPlaced || !j.placed
+	j.placed = true
 	s.markDirty(j)
 	s.log("placed", slog.String("id", j.id), slog.Int("step", r.step), slog.Int("tasks", len(indices)),
 		slog.Int("run", units[0].run), slog.Int("rank", r.rank), slog.Int64("waitedMs", s.age(r)), slog.Int64("guaranteedMs", s.guaranteedFor(j)),
--- a/internal/scheduling/coordinator/recorder.go
+++ b/internal/scheduling/coordinator/recorder.go
@@ -13,6 +13,10 @@
 	// dirtyJobs holds the jobs with changes that are in no batch yet, in the order of
 	// their first change.
 	dirtyJobs []*job
+	// startedJobs holds the open jobs of which a run has begun that is not recorded for callers.
+	startedJobs []*job
+	// firstPlaced is set if the next batch has the first placement of a job.
+	firstPlaced bool
 	// detailsToDrop holds the IDs of jobs whose details are to be dropped.
 	detailsToDrop []string
 	// recordsToDrop holds the IDs of jobs whose records are to be dropped.
@@ -75,13 +79,17 @@
 		r.Records = append(r.Records, jobstate.DropRecords(id)...)
 	}
 	s.recordsToDrop = nil
-	renew := len(r.Records) > 0 || s.renewalDue || s.now >= s.renewedAt+s.RenewInterval
+	// The start orders that wait for the batch expire with the claim. That of a new job is renewed,
+	// so that its first tasks start while the store is slow.
+	renew := len(r.Records) > 0 || s.renewalDue || s.firstPlaced || s.now >= s.renewedAt+s.RenewInterval
+	s.firstPlaced = false
 	if !renew && len(r.Details) == 0 {
 		return
 	}
 	// Leases are recorded with the placements that make them longer, and so before the starts.
 	s.recordLeases(&r)
 	if renew {
+		s.recordStartedJobs(&r)
 		s.renewals++
 		c, err := jobstate.ClaimRecord(s.Claim())
 		if err != nil {
@@ -132,11 +140,39 @@
 	return n
 }
 
-// recordJob adds the records of a job's state to a batch. The record for callers is
-// left out if their view has not changed.
+// noteStarted records that a run of a job has begun.
+func (s *State) noteStarted(j *job) {
+	if j == nil || j.progress.Started || j.progress.State.Ended() {
+		return
+	}
+	j.progress.SetStarted()
+	s.startedJobs = append(s.startedJobs, j)
+}
+
+// recordStartedJobs adds the records for callers of the jobs that have started to a batch.
+func (s *State) recordStartedJobs(r *Record) {
+	for _, j := range s.startedJobs {
+		view := j.view()
+		if j.progress.State.Ended() || j.recordedView == view {
+			continue
+		}
+		p, err := jobstate.ProgressRecord(j.id, j.progress)
+		if err != nil {
+			s.log("start of job not recorded", slog.String("id", j.id), slog.String("error", err.Error()))
+			continue
+		}
+		j.recordedView = view
+		r.Records = append(r.Records, p)
+	}
+	clear(s.startedJobs)
+	s.startedJobs = s.startedJobs[:0]
+}
+
+// recordJob adds the records of a job's state to a batch: the details of an open job, whose
+// state for callers recordStartedJobs adds, or the end of a job.
 func (s *State) recordJob(r *Record, j *job) error {
-	view := callerView{state: j.progress.State, started: j.progress.Started}
 	if j.progress.State.Ended() {
+		view := j.view()
 		if j.recordedView == view {
 			return nil
 		}
@@ -155,15 +191,6 @@
 		return err
 	}
 	r.Details = append(r.Details, d)
-	if j.recordedView == view {
-		return nil
-	}
-	p, err := jobstate.ProgressRecord(j.id, j.progress)
-	if err != nil {
-		return err
-	}
-	j.recordedView = view
-	r.Records = append(r.Records, p)
 	return nil
 }
 
@@ -173,6 +200,11 @@
 	started bool
 }
 
+// view returns the state of the job that callers are to see.
+func (j *job) view() callerView {
+	return callerView{state: j.progress.State, started: j.progress.Started}
+}
+
 // batchRecorded releases the placements, acknowledgements and polls that waited for a
 // batch to be written.
 func (s *State) batchRecorded(e *Recorded) {
--- a/internal/scheduling/coordinator/state.go
+++ b/internal/scheduling/coordinator/state.go
@@ -198,6 +198,8 @@
 	// forgetAt is when the job is forgotten, on the clock of Event.Now; 0 before its end is in
 	// the store.
 	forgetAt int64
+	// placed is set once this coordinator has placed a task of the job.
+	placed bool
 	// dirty is set while the job has changes that are not in a batch yet.
 	dirty bool
 	// recordedView is the state that was last recorded for callers.
@@ -274,6 +276,12 @@
 	if detail != nil {
 		j.progress = detail.Clone()
 	}
+	switch {
+	case j.recordedView.started:
+		j.progress.SetStarted()
+	case j.progress.Started:
+		s.startedJobs = append(s.startedJobs, j)
+	}
 	if !j.progress.Fits(j.spec) {
 		// Two jobs were accepted under one ID, and the newest acceptance is not the one that
 		// was run; or the record of the tasks cannot be read. What runs is stopped once the
--- a/internal/scheduling/coordinator/worker.go
+++ b/internal/scheduling/coordinator/worker.go
@@ -262,6 +262,7 @@
 		return
 	}
 	w.lastEnd = e.Number
+	s.noteStarted(s.jobs[e.Task.Job])
 	a := w.attempts[e.Task]
 	if a != nil && a.run == e.Run {
 		s.log("run ended", slog.String("id", e.Task.Job), slog.Int("step", e.Task.Step), slog.Int("index", e.Task.Index),
@@ -336,6 +337,7 @@
 
 // updateRunning updates an attempt whose run its worker lists.
 func (s *State) updateRunning(a *attempt, r *placement.Run) {
+	s.noteStarted(a.job)
 	a.lifetime = a.w.currentLifetime
 	// Reports may wait here for different times, which is no time without progress.
 	arrivedAt := s.now - s.waited
@@ -409,6 +411,7 @@
 		s.withdrawUnit(a.unit, "an earlier run of it goes on")
 	}
 	j := s.jobs[r.Task.Job]
+	s.noteStarted(j)
 	if j == nil || r.Task.Step >= len(j.spec.Steps) {
 		s.sendStopOrder(w, r.Task, r.Run)
 		return
--- a/internal/scheduling/jobspec/progress.go
+++ b/internal/scheduling/jobspec/progress.go
@@ -61,7 +61,7 @@
 	// Term is the term of the coordinator that wrote the record.
 	Term  uint64 `cbor:"1,keyasint"`
 	State State  `cbor:"2,keyasint"`
-	// Started is set once a task has been placed.
+	// Started is set once a run of a task has begun on a worker; see SetStarted.
 	Started     bool        `cbor:"3,keyasint,omitempty"`
 	Occurrences Occurrences `cbor:"4,keyasint,omitempty"`
 	// Abandoned lists the runs that were abandoned when their worker's lease had expired.
@@ -72,6 +72,15 @@
 	EndedAt int64 `cbor:"5,keyasint,omitempty"`
 }
 
+// SetStarted records that a run has begun. A task that is only placed may never run: its start
+// may be refused or not arrive.
+func (p *Progress) SetStarted() {
+	p.Started = true
+	if p.State == Queued {
+		p.State = Running
+	}
+}
+
 // NewOccurrence returns the tasks, per step, of an occurrence that has not started.
 func (s *Spec) NewOccurrence() [][]Task {
 	steps := make([][]Task, len(s.Steps))
--- a/internal/scheduling/simulation/invariants.go
+++ b/internal/scheduling/simulation/invariants.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobspec"
+	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobstate"
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/placement"
 )
 
@@ -153,6 +154,13 @@
 	j.endedAt, j.state = c.now, entry.Progress.State
 }
 
+// checkTold checks that a job that callers are told to run has begun.
+func (c *Cluster) checkTold(id string, entry *jobstate.Job) {
+	if j := c.jobs[id]; j != nil && j.starts == 0 && entry.State() == jobspec.Running {
+		c.violationf("job %s is told to run before any run of it has started", id)
+	}
+}
+
 // Result is the result of a job.
 type Result struct {
 	ID    string
