coordinator: a quarantine leaves no lasting task without a worker

Cause: a worker in quarantine was no candidate at all, whether or not another could take the task.

Change: it is a last resort. A lasting task is placed there if no other worker has room for it, any other task if no other worker could hold it even when empty; while one could, the task waits as before, so that a sick worker does not use up its attempts.

--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -66,6 +66,9 @@
 	// may be preempted.
 	rackNames []string
 	searches  int
+	// quarantined is the pool of the workers of the service that are in quarantine; nil if there
+	// are none.
+	quarantined *candidatePool
 	// taken holds the units that were chosen as victims in the pass.
 	taken map[*unit]bool
 }
@@ -94,13 +97,13 @@
 		r.noteAttempt(s)
 		pool := pools[r.spec.Service]
 		if pool == nil {
-			pool = s.newPool(r.spec.Service)
+			pool = s.newPools(r.spec.Service)
 			pools[r.spec.Service] = pool
 		}
-		if len(pool.candidates) == 0 || s.mustAwaitAdvice(r, pool) || s.mayQueueStarts(r) == 0 {
-			continue
+		if len(pool.candidates) > 0 && !s.mustAwaitAdvice(r, pool) && s.mayQueueStarts(r) > 0 {
+			s.place(r, pool)
 		}
-		s.place(r, pool)
+		s.placeOnQuarantined(r, pool)
 	}
 	s.passExamined = s.examined - before
 	if n := s.passExamined; n >= longPass {
@@ -348,15 +351,28 @@
 	return n
 }
 
-// newPool returns the candidates of a service, ordered by worker ID, with the
-// reservation in force.
-func (s *State) newPool(service string) *candidatePool {
+// newPools returns the candidates of a service that are not in quarantine, with the pool of those
+// that are, if there are any.
+func (s *State) newPools(service string) *candidatePool {
+	pool := s.newPool(service, false)
+	if !slices.ContainsFunc(s.sortedWorkers(), s.quarantined) {
+		return pool
+	}
+	if q := s.newPool(service, true); len(q.candidates) > 0 {
+		pool.quarantined = q
+	}
+	return pool
+}
+
+// newPool returns the candidates of a service that are in quarantine or are not, ordered by
+// worker ID, with the reservations in force.
+func (s *State) newPool(service string, quarantined bool) *candidatePool {
 	pool := &candidatePool{
 		now: s.now, workers: make([]*worker, 0, len(s.workers)), candidates: make([]placement.Candidate, 0, len(s.workers)),
 		indices: make(map[string]int, len(s.workers)), taken: make(map[*unit]bool),
 	}
 	for _, w := range s.sortedWorkers() {
-		if w.Service != service || s.unschedulable(w) {
+		if w.Service != service || s.quarantined(w) != quarantined || s.unschedulable(w) {
 			continue
 		}
 		pool.indices[w.ID] = len(pool.workers)
--- a/internal/scheduling/coordinator/state.go
+++ b/internal/scheduling/coordinator/state.go
@@ -555,7 +555,7 @@
 	}
 	for _, w := range s.workers {
 		attempts += len(w.attempts)
-		if !s.unschedulable(w) {
+		if !s.unschedulable(w) && !s.quarantined(w) {
 			workers++
 		}
 	}
--- a/internal/scheduling/coordinator/worker.go
+++ b/internal/scheduling/coordinator/worker.go
@@ -75,8 +75,9 @@
 	// moreEnds is set while the last list of ends may lack the newest ones.
 	moreEnds bool
 
-	// unschedulableUntil is when the worker may receive new tasks again.
-	unschedulableUntil int64
+	// unschedulableUntil is when the worker may receive new tasks again, and quarantinedUntil
+	// when it may receive those that other workers can hold.
+	unschedulableUntil, quarantinedUntil int64
 	// failures counts the failures and stalls attributed to the worker since the last
 	// success. Successive failures of one job, whose ID lastFailedJob holds, count once.
 	// failedAt is when the last run failed or stalled there, counted or not.
@@ -149,7 +150,7 @@
 	w.clock, w.clockAt, w.leaseEnd, w.silentSince, w.listSentAt = 0, 0, 0, 0, 0
 	w.lastEnd, w.ackedEnd, w.pendingAcks = 0, 0, nil
 	w.forgiveFailures()
-	w.unschedulableUntil = 0
+	w.unschedulableUntil, w.quarantinedUntil = 0, 0
 	for _, a := range w.attempts {
 		if a.maybeStarted {
 			// The stop was executed by the last lifetime only.
--- a/internal/scheduling/placement/candidate.go
+++ b/internal/scheduling/placement/candidate.go
@@ -145,6 +145,20 @@
 	return fits >= r.Tasks
 }
 
+// CouldHold reports whether all tasks of r would fit on the candidates if these were empty, those
+// that are excluded at present included.
+func CouldHold(candidates []Candidate, r *Request) bool {
+	fits := 0
+	for i := range candidates {
+		c := candidates[i]
+		c.Excluded, c.StepTasks = false, 0
+		if fits += r.fitEmpty(&c); fits >= r.Tasks {
+			return true
+		}
+	}
+	return false
+}
+
 // PlaceAnywhere returns places for as many tasks of r as fit. It chooses among all
 // candidates with the preferences of Fill.
 func PlaceAnywhere(candidates []Candidate, r *Request) []int {
