coordinator: no record exceeds the store's limit, and a refused one blocks nothing

Cause: the progress of all tasks of a job was one record of any size, and an append that the store refused for its content was repeated for ever, before all others.

Change: details that are too large are recorded without checkpoints, and these beside them in parts, of which only those that have changed are written. What the store refuses all the same is left out and logged; its job fails, and nothing of it starts. Appends of callers' records are cut at call_bytes, an acceptance that exceeds a record is refused at once, and abandoned runs are bounded.

--- a/internal/host/frontend/details.go
+++ b/internal/host/frontend/details.go
@@ -17,7 +17,7 @@
 
 // readDetails fences the details partition, which holds the progress of the tasks of
 // open jobs and the recorded leases of workers, against earlier coordinators and reads it. It
-// returns the details and sets RecordedLeases. The store returns the partition in parts read at
+// returns the details and sets RecordedLeases and RecordedCheckpoints. The store returns the partition in parts read at
 // different times; they are consistent, since after the fencing no other coordinator can
 // write.
 func (l *leader) readDetails(ctx context.Context) (jobstate.Details, error) {
@@ -32,9 +32,10 @@
 		return nil, err
 	}
 	d := make(jobstate.Details)
-	l.state.RecordedLeases = make(jobstate.Leases)
+	l.state.RecordedLeases, l.state.RecordedCheckpoints = make(jobstate.Leases), make(jobstate.Checkpoints)
 	_, err = l.readNewest(ctx, l.details.topic, 0, func(part []keyedstore.Entry, _ int64) error {
 		for _, e := range part {
+			l.state.RecordedCheckpoints.Apply(e.Record)
 			if err := errors.CombineErrors(d.Apply(e.Record), l.state.RecordedLeases.Apply(e.Record)); err != nil {
 				// Without a coordinator, all jobs would stand still.
 				l.Logger.Error("record cannot be read", slog.Uint64("offset", e.Offset), errorAttr(err))
--- a/internal/host/frontend/leader.go
+++ b/internal/host/frontend/leader.go
@@ -177,7 +177,8 @@
 		state: coordinator.State{
 			Settings: coordinator.Settings{
 				Lease: min(workerLease, settings.MaxLease), MaxLease: settings.MaxLease, GangWait: settings.GangWait, RemoteFactor: settings.RemoteFactor, RestoreTime: settings.RestoreTime,
-				Retention: settings.Retention, LinkRate: settings.LinkRate, CallRate: settings.CoreShare * callsPerCore, Host: h.Name(), Incarnation: h.Incarnation,
+				Retention: settings.Retention, LinkRate: settings.LinkRate, CallRate: settings.CoreShare * callsPerCore, MaxRecordBytes: int(settings.MaxRecordBytes),
+				Host: h.Name(), Incarnation: h.Incarnation,
 			},
 			Term: term, ClaimedAt: claimedAt,
 		},
@@ -426,7 +427,7 @@
 		case <-ctx.Done():
 			return
 		case b := <-l.batches:
-			sent, err := l.writeBatch(ctx, b)
+			sent, refused, err := l.writeBatch(ctx, b)
 			if err != nil {
 				// A batch fails only if a later coordinator has taken over, the store rejects
 				// the sequence number, or ctx has ended.
@@ -434,7 +435,7 @@
 				return
 			}
 			select {
-			case l.recorded <- postedEvent{Event: coordinator.Event{Recorded: &coordinator.Recorded{Batch: b.Batch, SentAt: sent}}, at: l.now()}:
+			case l.recorded <- postedEvent{Event: coordinator.Event{Recorded: &coordinator.Recorded{Batch: b.Batch, SentAt: sent, Refused: refused}}, at: l.now()}:
 			case <-ctx.Done():
 				return
 			}
@@ -443,35 +444,66 @@
 }
 
 // writeBatch appends the details of a batch and then its records. It returns the time
-// at which the last append of its records was sent; 0 if it has none.
-func (l *leader) writeBatch(ctx context.Context, b *coordinator.Record) (int64, error) {
-	if _, err := l.writeRecords(ctx, &l.details, b.Details); err != nil {
-		return 0, err
+// at which the last append of its records was sent, 0 if it has none, and the keys of the records
+// that the store does not accept.
+func (l *leader) writeBatch(ctx context.Context, b *coordinator.Record) (sent int64, refused []string, err error) {
+	if _, refused, err = l.writeRecords(ctx, &l.details, b.Details); err != nil {
+		return 0, nil, err
 	}
-	return l.writeRecords(ctx, &l.jobs, b.Records)
+	sent, more, err := l.writeRecords(ctx, &l.jobs, b.Records)
+	return sent, append(refused, more...), err
 }
 
 // writeRecords appends records in calls of at most MaxAppendBytes bytes, except that a
 // larger record is sent alone. It returns the time at which the last call was sent.
-func (l *leader) writeRecords(ctx context.Context, to *partition, rs []jobstate.Record) (int64, error) {
-	var sent int64
+func (l *leader) writeRecords(ctx context.Context, to *partition, rs []jobstate.Record) (sent int64, refused []string, err error) {
 	for len(rs) > 0 {
 		n, size := 0, 0
-		for n < len(rs) && (n == 0 || size+recordSize(rs[n]) <= int(l.MaxAppendBytes)) {
-			size += recordSize(rs[n])
+		for n < len(rs) && (n == 0 || size+recordSize(&rs[n]) <= int(l.MaxAppendBytes)) {
+			size += recordSize(&rs[n])
 			n++
 		}
-		var err error
-		if sent, err = l.appendUntilDone(ctx, to, rs[:n]); err != nil {
-			return 0, err
+		var keys []string
+		if sent, keys, err = l.writeAccepted(ctx, to, rs[:n]); err != nil {
+			return 0, nil, err
 		}
-		rs = rs[n:]
+		rs, refused = rs[n:], append(refused, keys...)
 	}
-	return sent, nil
+	return sent, refused, nil
+}
+
+// writeAccepted appends records in order, without those that the store does not accept for what
+// they are: repeating them would keep all others from being written. A claim is among them
+// only if the role cannot be held.
+func (l *leader) writeAccepted(ctx context.Context, to *partition, rs []jobstate.Record) (sent int64, refused []string, err error) {
+	sent, err = l.appendUntilDone(ctx, to, rs)
+	if !contentRefused(err) {
+		return sent, nil, err
+	}
+	if len(rs) == 1 {
+		l.Logger.Error("record refused by the store", slog.String("key", rs[0].Key), slog.Int("bytes", rs[0].Size()), errorAttr(err))
+		if rs[0].JobID() == "" {
+			return 0, nil, err
+		}
+		return 0, []string{rs[0].Key}, nil
+	}
+	half := len(rs) / 2
+	if _, refused, err = l.writeAccepted(ctx, to, rs[:half]); err != nil {
+		return 0, nil, err
+	}
+	sent, more, err := l.writeAccepted(ctx, to, rs[half:])
+	return sent, append(refused, more...), err
+}
+
+// contentRefused reports whether the store does not accept the records of an append for what they
+// are, so that a repeat is refused too.
+func contentRefused(err error) bool {
+	k := fault.KindOf(err)
+	return k == fault.TooLarge || k == fault.Invalid
 }
 
 // recordSize returns the encoded size of a record in a call, in bytes.
-func recordSize(r jobstate.Record) int { return 5 + len(r.Key) + len(r.Value) }
+func recordSize(r *jobstate.Record) int { return 4 + r.Size() }
 
 // appendUntilDone repeats one append until it succeeds, the role is lost or ctx ends. It
 // returns the time at which the append was sent first, except for calls that certainly did
@@ -486,7 +518,7 @@
 			return sent, nil
 		}
 		k := fault.KindOf(err)
-		if k == fault.Fenced || k == fault.Internal || ctx.Err() != nil {
+		if k == fault.Fenced || k == fault.Internal || contentRefused(err) || ctx.Err() != nil {
 			return 0, err
 		}
 		if fault.NothingDone(err) {
--- a/internal/host/frontend/serve.go
+++ b/internal/host/frontend/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"strings"
 	"time"
@@ -172,6 +173,9 @@
 	if err != nil {
 		return Response{Outcome: Malformed, Message: err.Error()}
 	}
+	if limit := h.MaxRecordBytes; limit > 0 && int64(rec.Size()) > limit {
+		return Response{Outcome: TooLarge, Message: fmt.Sprintf("the job takes %d bytes in the store; send one of at most %d", rec.Size(), limit)}
+	}
 	return h.recordAndWait(ctx, req, route.Timeout, rec)
 }
 
--- a/internal/host/frontend/write.go
+++ b/internal/host/frontend/write.go
@@ -97,23 +97,18 @@
 func (h *Host) write(ctx context.Context) {
 	w := &h.writer
 	w.name = h.Incarnation
+	// next is an item that did not fit into the last batch.
+	var next *writeItem
 	for {
 		var batch []*writeItem
-		select {
-		case <-ctx.Done():
-			return
-		case it := <-w.queue:
-			batch = w.addToBatch(batch, it)
-		}
-	more:
-		for len(batch) < maxWriteBatch {
+		if next == nil {
 			select {
-			case it := <-w.queue:
-				batch = w.addToBatch(batch, it)
-			default:
-				break more
+			case <-ctx.Done():
+				return
+			case next = <-w.queue:
 			}
 		}
+		batch, next = w.collectBatch(next, h.MaxAppendBytes)
 		if len(batch) == 0 {
 			continue
 		}
@@ -128,6 +123,25 @@
 	}
 }
 
+// collectBatch returns a batch of waiting items that begins with first, and an item that did not
+// fit into it; nil for none. Its records take at most maxBytes, unless there is only one.
+func (w *writer) collectBatch(first *writeItem, maxBytes int64) (batch []*writeItem, next *writeItem) {
+	batch = w.addToBatch(nil, first)
+	size := int64(recordSize(&first.record))
+	for len(batch) < maxWriteBatch {
+		select {
+		case it := <-w.queue:
+			if size += int64(recordSize(&it.record)); size > maxBytes && len(batch) > 0 {
+				return batch, it
+			}
+			batch = w.addToBatch(batch, it)
+		default:
+			return batch, nil
+		}
+	}
+	return batch, nil
+}
+
 // addToBatch adds an item to a batch unless it was withdrawn.
 func (w *writer) addToBatch(batch []*writeItem, it *writeItem) []*writeItem {
 	if it.state.CompareAndSwap(itemWaiting, itemSent) {
@@ -163,7 +177,7 @@
 		} else {
 			unknown = true
 		}
-		last := refusals >= maxRefusals
+		last := refusals >= maxRefusals || contentRefused(err)
 		if unknown {
 			last = h.now()-began > unknownRetryPeriod.Milliseconds() || fault.KindOf(err) == fault.Internal
 		}
--- a/internal/host/hostconfig/settings.go
+++ b/internal/host/hostconfig/settings.go
@@ -38,6 +38,8 @@
 	RemoteFactor float64
 	// MaxAppendBytes is the largest size of one append to the store, in bytes.
 	MaxAppendBytes int64
+	// MaxRecordBytes is the largest size of one record, in bytes; 0 means that of the platform.
+	MaxRecordBytes int64
 }
 
 // NeedsRestart returns the names of the settings that differ from old and take
--- a/internal/scheduling/coordinator/abandoned.go
+++ b/internal/scheduling/coordinator/abandoned.go
@@ -17,6 +17,9 @@
 	a.job.progress.Abandoned = append(a.job.progress.Abandoned, jobspec.Run{
 		Occurrence: a.occurrence, Step: a.step, Index: a.index, Number: a.run,
 	})
+	if n := len(a.job.progress.Abandoned) - jobspec.MaxAbandoned; n > 0 {
+		a.job.progress.Abandoned = slices.Delete(a.job.progress.Abandoned, 0, n)
+	}
 }
 
 // recordLateEnd handles the end of a run that already counted as over. A success marks
--- a/internal/scheduling/coordinator/event.go
+++ b/internal/scheduling/coordinator/event.go
@@ -74,6 +74,8 @@
 	// if the batch had none. Only these show that the role was still held, since the next
 	// coordinator claims it in their partition.
 	SentAt int64
+	// Refused has the keys of the records that the store does not accept.
+	Refused []string
 }
 
 // Advice is the answer to a QueryAdvice effect.
--- a/internal/scheduling/coordinator/presumed_test.go
+++ b/internal/scheduling/coordinator/presumed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -35,12 +36,15 @@
 	// not confirmed; held is the last of them.
 	details     jobstate.Details
 	leases      jobstate.Leases
+	checkpoints jobstate.Checkpoints
 	holdRecords bool
 	held        uint64
 	// claim is the last record of the newest batch that has any, which is its claim.
 	claim jobstate.Record
 	// table holds what was recorded for callers.
 	table jobstate.Table
+	// largestRecord is the size of the largest record, in bytes.
+	largestRecord int
 }
 
 func newExchange(t *testing.T) *exchange {
@@ -72,7 +76,14 @@
 	if x.details == nil {
 		x.details, x.leases = make(jobstate.Details), make(jobstate.Leases)
 	}
+	for _, r := range slices.Concat(b.Details, b.Records) {
+		x.largestRecord = max(x.largestRecord, 1+len(r.Key)+len(r.Value))
+	}
+	if x.checkpoints == nil {
+		x.checkpoints = make(jobstate.Checkpoints)
+	}
 	for _, r := range b.Details {
+		x.checkpoints.Apply(r)
 		require.NoError(x, x.details.Apply(r))
 		require.NoError(x, x.leases.Apply(r))
 	}
--- a/internal/scheduling/coordinator/recorder.go
+++ b/internal/scheduling/coordinator/recorder.go
@@ -63,14 +63,19 @@
 	r := Record{Batch: s.batch + 1}
 	for _, id := range s.detailsToDrop {
 		// The job's end is already in the store, so its details are obsolete.
-		r.Details = append(r.Details, jobstate.DropDetailRecord(id))
+		r.Details = append(append(r.Details, s.dropParts(id)...), jobstate.DropDetailRecord(id))
 	}
 	s.detailsToDrop = s.detailsToDrop[:0]
-	for _, j := range s.dirtyJobs {
+	// A job whose progress cannot be recorded ends, and is recorded as such.
+	for i := 0; i < len(s.dirtyJobs); i++ {
+		j := s.dirtyJobs[i]
 		j.dirty = false
 		j.progress.Term = s.Term
 		if err := s.recordJob(&r, j); err != nil {
 			s.log("job not recorded", slog.String("id", j.id), slog.String("error", err.Error()))
+			if !j.progress.State.Ended() {
+				s.endJob(j, jobspec.Failed, "its progress cannot be recorded")
+			}
 		}
 	}
 	clear(s.dirtyJobs)
@@ -186,12 +191,7 @@
 		r.Records = append(r.Records, rs...)
 		return nil
 	}
-	d, err := jobstate.DetailRecord(j.id, j.progress)
-	if err != nil {
-		return err
-	}
-	r.Details = append(r.Details, d)
-	return nil
+	return s.recordDetails(r, j)
 }
 
 // callerView is the part of a job's state that is recorded for callers.
@@ -213,6 +213,13 @@
 	}
 	s.written = e.Batch
 	s.claimVerifiedAt = max(s.claimVerifiedAt, e.SentAt)
+	for _, key := range e.Refused {
+		// What runs must be known to the next coordinator.
+		r := jobstate.Record{Key: key}
+		if j := s.jobs[r.JobID()]; j != nil && !j.progress.State.Ended() {
+			s.endJob(j, jobspec.Failed, "the store does not accept its record "+key)
+		}
+	}
 	for _, j := range s.endedJobs {
 		s.retain(j, s.now)
 	}
--- a/internal/scheduling/coordinator/state.go
+++ b/internal/scheduling/coordinator/state.go
@@ -66,6 +66,8 @@
 	// number of calls a second that would take all of its processor time. Polls and start
 	// orders are held back accordingly; 0 means no limit.
 	LinkRate, CallRate float64
+	// MaxRecordBytes is the largest record that the store accepts, in bytes. Default 262144.
+	MaxRecordBytes int
 	// Host and Incarnation identify this process in its claim records.
 	Host, Incarnation string
 }
@@ -85,6 +87,7 @@
 	setDefault(&s.GangWait, 3000)
 	setDefault(&s.RemoteFactor, 1)
 	setDefault(&s.Retention, 120_000)
+	setDefault(&s.MaxRecordBytes, 256<<10)
 }
 
 // setDefault sets v to d if v is zero.
@@ -119,6 +122,9 @@
 	PriorLongLeases []string
 	// RecordedLeases holds the leases that are recorded beside the details.
 	RecordedLeases jobstate.Leases
+	// RecordedCheckpoints holds the checkpoints that are recorded beside the details. Those of
+	// a job are passed on to it.
+	RecordedCheckpoints jobstate.Checkpoints
 
 	// now and wall are the times of the newest event; see Event.
 	now, wall int64
@@ -202,6 +208,9 @@
 	placed bool
 	// dirty is set while the job has changes that are not in a batch yet.
 	dirty bool
+	// parts holds hashes of the recorded parts of the job's checkpoints by key; empty while they
+	// are recorded with its details.
+	parts map[string]uint64
 	// recordedView is the state that was last recorded for callers.
 	recordedView callerView
 	// room holds, for steps that wait for a better place, since when there has been room for
@@ -276,6 +285,7 @@
 	if detail != nil {
 		j.progress = detail.Clone()
 	}
+	s.restoreCheckpoints(j)
 	switch {
 	case j.recordedView.started:
 		j.progress.SetStarted()
--- a/internal/scheduling/jobspec/progress.go
+++ b/internal/scheduling/jobspec/progress.go
@@ -30,6 +30,13 @@
 	Done
 )
 
+// MaxCheckpointBytes is the largest accepted size of a checkpoint, in bytes.
+const MaxCheckpointBytes = 4096
+
+// MaxAbandoned is the most runs in Progress.Abandoned. With MaxTasks tasks, whose checkpoints may be
+// recorded in parts, the progress of a job then fits into one record.
+const MaxAbandoned = 1000
+
 // Task is the recorded state of one task.
 type Task struct {
 	Phase Phase
@@ -65,7 +72,8 @@
 	Started     bool        `cbor:"3,keyasint,omitempty"`
 	Occurrences Occurrences `cbor:"4,keyasint,omitempty"`
 	// Abandoned lists the runs that were abandoned when their worker's lease had expired.
-	// The worker may still report their ends once it answers again.
+	// The worker may still report their ends once it answers again. Only the newest MaxAbandoned
+	// are kept.
 	Abandoned []Run `cbor:"6,keyasint,omitempty"`
 	// EndedAt is the coordinator's time of day when the job ended, in milliseconds since
 	// 1970. Only hosts of earlier versions decide by it.
--- a/internal/scheduling/jobstate/record.go
+++ b/internal/scheduling/jobstate/record.go
@@ -1,6 +1,8 @@
 package jobstate
 
 import (
+	"strings"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobspec"
@@ -13,6 +15,24 @@
 	Value []byte
 }
 
+// Size returns what the record takes in the store beside its length, in bytes.
+func (r *Record) Size() int { return 1 + len(r.Key) + len(r.Value) }
+
+// JobID returns the ID of the job that the record is of; empty if it is of none.
+func (r *Record) JobID() string {
+	if r.Key == "" {
+		return ""
+	}
+	switch r.Key[0] {
+	case kindAccepted, kindCancelled, kindProgress, kindDetail:
+		return r.Key[1:]
+	case kindCheckpoints:
+		_, id, _ := strings.Cut(r.Key, ":")
+		return id
+	}
+	return ""
+}
+
 // The first byte of a key is the kind of the record; the rest is the job's ID.
 const (
 	kindAccepted  = 'a'
--- a/internal/scheduling/simulation/cluster.go
+++ b/internal/scheduling/simulation/cluster.go
@@ -27,6 +27,8 @@
 	// LongestTurn is the longest time that a coordinator took for one event, in milliseconds, if
 	// Scenario.CallRate is set.
 	LongestTurn int64
+	// MostAbandoned is the largest number of abandoned runs that was recorded of a job.
+	MostAbandoned int
 
 	now        int64
 	queue      eventQueue
@@ -215,6 +217,9 @@
 	if err := c.details.Apply(r); err != nil {
 		c.violationf("a detail record cannot be applied: %v", err)
 	}
+	if d := c.details[r.JobID()]; d != nil {
+		c.MostAbandoned = max(c.MostAbandoned, len(d.Abandoned))
+	}
 }
 
 // write writes a record to the store and sends the change to the leader.
--- a/standin/emulator/store.go
+++ b/standin/emulator/store.go
@@ -206,6 +206,9 @@
 	if get("at") != "" && number("at") != t.end() {
 		return http.StatusPreconditionFailed, appendResponse{End: t.end()}
 	}
+	if !acceptable(body) {
+		return http.StatusRequestEntityTooLarge, appendResponse{End: t.end()}
+	}
 	a := appendResponse{Offset: t.end()}
 	for len(body) >= 4 {
 		n := int(binary.BigEndian.Uint32(body))
@@ -227,6 +230,28 @@
 	return http.StatusOK, a
 }
 
+// The limits of the platform on one record, beside its length, and on the records of one append, in
+// bytes.
+const (
+	maxRecordBytes = 256 << 10
+	maxAppendBytes = 2 << 20
+)
+
+// acceptable reports whether the records of an append are within the limits.
+func acceptable(body []byte) bool {
+	if len(body) > maxAppendBytes {
+		return false
+	}
+	for len(body) >= 4 {
+		n := int(binary.BigEndian.Uint32(body))
+		if n > maxRecordBytes {
+			return false
+		}
+		body = body[4+n:]
+	}
+	return true
+}
+
 // check returns the answer to an append that is a repeat, is fenced or has the wrong
 // sequence number. It returns status 0 if the append may be executed.
 func (w *writer) check(epoch, sequence, end uint64) (int, appendResponse) {
