--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -223,7 +223,10 @@
 		if s.State == "completed" {
 			l.cluster.workers.Shown(j.id)
 		}
-		_, succeeded := l.cluster.workers.Starts(j.id)
+		starts, succeeded := l.cluster.workers.Starts(j.id)
+		if s.State == "running" && starts == 0 && *oldFlag == "" {
+			l.violationf("job %s is reported as running before any run of it has started", j.id)
+		}
 		if s.State == "completed" && !succeeded {
 			l.violationf("job %s is reported as completed but is not", j.id)
 		}
