--- a/internal/host/frontend/host_test.go
+++ b/internal/host/frontend/host_test.go
@@ -346,3 +346,16 @@
 	},
 		3*time.Second, 20*time.Millisecond)
 }
+
+// A job whose acceptance exceeds a record must be refused at once: the store would refuse it together with
+// the records of other callers.
+func TestJobThatExceedsARecordIsRefused(t *testing.T) {
+	s := newTestSystem(t)
+	s.configure(key)
+	s.adjust = func(h *frontend.Host) { h.MaxRecordBytes = 100 }
+	h, _, _ := s.startHost("host")
+	s.waitReady(h)
+	r := serve(h, frontend.Submit, prefix+id, key, time.Second)
+	assert.Equal(t, frontend.TooLarge, r.Outcome)
+	assert.Contains(t, r.Message, "at most 100")
+}
