coordinator: a stop is repeated if the worker's next lifetime lists the run

Cause: a stop counted as executed once any lifetime of the worker had executed it. A worker that restarts under its id forgets it, and may then execute a late start of an earlier coordinator, before it hears the token of the present one. Only attempts whose own starts were unanswered were stopped again.

Change: a run that another lifetime lists than the one in which it was last has not been reached by the stop.

Evidence: TestStopIsRepeatedAfterARestart failed before (no stop in 2 s) and passes.

--- a/internal/scheduling/coordinator/takeover_test.go
+++ b/internal/scheduling/coordinator/takeover_test.go
@@ -103,3 +103,24 @@
 	x.wait(500)
 	assert.False(t, x.startedElsewhere())
 }
+
+// A stop that an earlier lifetime of the worker has executed must be repeated if the next one lists the run:
+// a late order of the predecessor has started it there. The run of a cancelled job would go on.
+func TestStopIsRepeatedAfterARestart(t *testing.T) {
+	x := newSuccessor(t)
+	x.list("w", lifetime, false)
+	spec, run := batch("b", 1, 30_000), placement.Run{Task: jobspec.TaskID{Job: "b"}, Run: 1}
+	x.answerPolls("w", lifetime, run)
+	x.apply(coordinator.Event{Job: &coordinator.JobChanged{Spec: &spec, Cancelled: true}})
+	require.Positive(t, x.answerStops(x.now-lifetime))
+	restart := x.now + 20
+	x.now += 50
+	x.list("w", restart, false)
+	stops := 0
+	for range 20 {
+		x.wait(100)
+		x.answerPolls("w", restart, run)
+		stops += x.answerStops(x.now - restart)
+	}
+	assert.Positive(t, stops)
+}
--- a/internal/scheduling/coordinator/worker.go
+++ b/internal/scheduling/coordinator/worker.go
@@ -339,7 +339,10 @@
 // updateRunning updates an attempt whose run its worker lists.
 func (s *State) updateRunning(a *attempt, r *placement.Run) {
 	s.noteStarted(a.job)
-	a.lifetime = a.w.currentLifetime
+	if a.lifetime != a.w.currentLifetime {
+		// A stop that was executed by an earlier lifetime has not reached this run.
+		a.lifetime, a.stoppedAt = a.w.currentLifetime, 0
+	}
 	// Reports may wait here for different times, which is no time without progress.
 	arrivedAt := s.now - s.waited
 	if r.Checkpoint != "" {
