coordinator: names and comments after a last read

No change of behaviour: newPools is poolOf, since it returns one pool; comments and messages of tests say shown where they said told. go test ./internal/scheduling/coordinator passes.

--- a/internal/scheduling/coordinator/begun_test.go
+++ b/internal/scheduling/coordinator/begun_test.go
@@ -12,8 +12,8 @@
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/placement"
 )
 
-// told returns the state of the job b that hosts tell callers.
-func (x *exchange) told() jobspec.State {
+// shown returns the state of the job b that hosts show to callers.
+func (x *exchange) shown() jobspec.State {
 	if j := x.table.Jobs["b"]; j != nil {
 		return j.State()
 	}
@@ -41,7 +41,7 @@
 	for range 100 {
 		x.wait(100)
 		x.unanswerPolls()
-		require.Equal(t, jobspec.Queued, x.told())
+		require.Equal(t, jobspec.Queued, x.shown())
 	}
 }
 
@@ -53,7 +53,7 @@
 			x.answerStart(v, x.now-500)
 		}
 		x.wait(1000)
-		assert.Equal(t, jobspec.Queued, x.told(), v)
+		assert.Equal(t, jobspec.Queued, x.shown(), v)
 	}
 
 	x := newExchange(t)
@@ -65,11 +65,11 @@
 	x.confirmRecords()
 	x.wait(1000)
 	require.Empty(t, x.starts)
-	assert.Equal(t, jobspec.Queued, x.told(), "the placement was withdrawn")
+	assert.Equal(t, jobspec.Queued, x.shown(), "the placement was withdrawn")
 }
 
-// A job is told to run whichever shows first that a run of it has begun: the answer to its start, a list
-// of runs or its end.
+// A job is shown as running as soon as a run of it is known to have begun: by the answer to its start,
+// a list of runs or its end.
 func TestBegunJobIsToldAsRunning(t *testing.T) {
 	task := jobspec.TaskID{Job: "b"}
 	for name, show := range map[string]func(x *exchange){
@@ -86,23 +86,23 @@
 		},
 	} {
 		x := newSubmission(t)
-		require.Equal(t, jobspec.Queued, x.told(), name)
+		require.Equal(t, jobspec.Queued, x.shown(), name)
 		show(x)
 		x.wait(x.state.RenewInterval + 50)
-		assert.Equal(t, jobspec.Running, x.told(), name)
+		assert.Equal(t, jobspec.Running, x.shown(), name)
 	}
 }
 
-// A successor must tell what its predecessor told, and of what it has only placed nothing before a worker
-// shows that it has begun.
+// A successor must show what its predecessor has shown. A job that was only placed is queued until a
+// worker lists a run of it.
 func TestSuccessorTellsWhatHasBegun(t *testing.T) {
 	spec := batch("b", 1, 30_000)
 	placed := &jobspec.Progress{
 		State: jobspec.Queued, Occurrences: jobspec.Occurrences{{{{Phase: jobspec.Placed, Run: 1, Worker: "w", Lifetime: lifetime}}}},
 	}
-	for _, told := range []bool{false, true} {
+	for _, running := range []bool{false, true} {
 		entry := &jobstate.Job{Spec: &spec}
-		if told {
+		if running {
 			entry.Progress = &jobspec.Progress{State: jobspec.Running, Started: true}
 		}
 		x := &exchange{T: t, now: 1000, state: coordinator.State{Term: 7}}
@@ -110,10 +110,10 @@
 		x.collect(x.state.Start(x.now, x.now, &jobstate.Table{Jobs: map[string]*jobstate.Job{"b": entry}}, jobstate.Details{"b": placed}, configuration(0), true))
 		x.list("w", lifetime, false)
 		x.wait(1000)
-		assert.Equal(t, told, x.told() == jobspec.Running, "before the first list")
+		assert.Equal(t, running, x.shown() == jobspec.Running, "before the first list")
 		x.answerPolls("w", lifetime, placement.Run{Task: jobspec.TaskID{Job: "b"}, Run: 1})
 		x.wait(1000)
-		assert.Equal(t, jobspec.Running, x.told(), "after it")
+		assert.Equal(t, jobspec.Running, x.shown(), "after it")
 	}
 }
 
@@ -125,7 +125,7 @@
 	table := jobstate.Table{Jobs: map[string]*jobstate.Job{"b": {Spec: &spec}}}
 	x.collect(x.state.Start(x.now, x.now, &table, jobstate.Details{"b": begun}, configuration(0), true))
 	x.wait(1000)
-	assert.Equal(t, jobspec.Running, x.told())
+	assert.Equal(t, jobspec.Running, x.shown())
 }
 
 // A run that no placement accounts for has begun as well.
@@ -135,5 +135,5 @@
 	x.list("w", 500, false)
 	x.answerPolls("w", 500, placement.Run{Task: jobspec.TaskID{Job: "b"}, Run: 1})
 	x.wait(1000)
-	assert.Equal(t, jobspec.Running, x.told())
+	assert.Equal(t, jobspec.Running, x.shown())
 }
--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -97,7 +97,7 @@
 		r.noteAttempt(s)
 		pool := pools[r.spec.Service]
 		if pool == nil {
-			pool = s.newPools(r.spec.Service)
+			pool = s.poolOf(r.spec.Service)
 			pools[r.spec.Service] = pool
 		}
 		if len(pool.candidates) > 0 && !s.mustAwaitAdvice(r, pool) && s.mayQueueStarts(r) > 0 {
@@ -351,9 +351,9 @@
 	return n
 }
 
-// newPools returns the candidates of a service that are not in quarantine, with the pool of those
-// that are, if there are any.
-func (s *State) newPools(service string) *candidatePool {
+// poolOf returns the pool of the candidates of a service that are not in quarantine, with the pool
+// of those that are, if there are any.
+func (s *State) poolOf(service string) *candidatePool {
 	pool := s.newPool(service, false)
 	if !slices.ContainsFunc(s.sortedWorkers(), s.quarantined) {
 		return pool
--- a/internal/scheduling/coordinator/quarantine.go
+++ b/internal/scheduling/coordinator/quarantine.go
@@ -46,9 +46,9 @@
 func (s *State) quarantined(w *worker) bool { return s.now < w.quarantinedUntil }
 
 // placeOnQuarantined places the tasks of r for which no place was found in pool on the workers of
-// the service that are in quarantine, if r must not wait for them to leave it: the sound workers
-// have no room for a lasting task, whose absence costs more than another failure, or could not
-// hold a task of any other step even when empty.
+// the service that are in quarantine, as a last resort. A lasting task uses them if no other worker
+// has room for it, since its absence costs more than another failure. Any other task uses them only
+// if no other worker could hold it even when empty.
 func (s *State) placeOnQuarantined(r *request, pool *candidatePool) {
 	if pool.quarantined == nil {
 		return
--- a/internal/scheduling/coordinator/quarantine_test.go
+++ b/internal/scheduling/coordinator/quarantine_test.go
@@ -72,7 +72,7 @@
 }
 
 // Review 9 (LOST): lasting tasks that failed waited for up to 20 s for the only worker with their label,
-// which was quarantined though it was sound. They may be without a run for 9 s.
+// which was quarantined though it was healthy. They may be without a run for 9 s.
 func TestLastingTasksDoNotAwaitAQuarantine(t *testing.T) {
 	x := newExchange(t)
 	x.list("w", 500, false)
--- a/internal/scheduling/coordinator/recordsize_test.go
+++ b/internal/scheduling/coordinator/recordsize_test.go
@@ -146,7 +146,7 @@
 	spec := batch("c", 1, 1000)
 	x.apply(coordinator.Event{Job: &coordinator.JobChanged{Spec: &spec}})
 	x.wait(1000)
-	assert.Equal(t, jobspec.Failed, x.told())
+	assert.Equal(t, jobspec.Failed, x.shown())
 	require.Len(t, x.starts, 1)
 	assert.Equal(t, "c", x.starts[0].Order.Task.Job)
 }
@@ -176,7 +176,7 @@
 	other := batch("c", 1, 1000)
 	x.apply(coordinator.Event{Job: &coordinator.JobChanged{Spec: &other}})
 	x.wait(1000)
-	assert.Equal(t, jobspec.Failed, x.told())
+	assert.Equal(t, jobspec.Failed, x.shown())
 	assert.LessOrEqual(t, x.largestRecord, 8192)
 	require.Len(t, x.starts, 1)
 	assert.Equal(t, "c", x.starts[0].Order.Task.Job)
--- a/internal/scheduling/simulation/cluster.go
+++ b/internal/scheduling/simulation/cluster.go
@@ -243,7 +243,7 @@
 	if entry == nil || entry.Spec == nil {
 		return
 	}
-	c.checkTold(change.Job, entry)
+	c.checkShown(change.Job, entry)
 	e := coordinator.Event{Job: &coordinator.JobChanged{Spec: entry.Spec, Cancelled: entry.Cancelled}}
 	if l := c.leader; l != nil {
 		c.schedule(c.NetworkDelay, func() { l.apply(e) })
--- a/internal/scheduling/simulation/invariants.go
+++ b/internal/scheduling/simulation/invariants.go
@@ -154,10 +154,10 @@
 	j.endedAt, j.state = c.now, entry.Progress.State
 }
 
-// checkTold checks that a job that callers are told to run has begun.
-func (c *Cluster) checkTold(id string, entry *jobstate.Job) {
+// checkShown checks that a job that is shown as running to callers has begun.
+func (c *Cluster) checkShown(id string, entry *jobstate.Job) {
 	if j := c.jobs[id]; j != nil && j.starts == 0 && entry.State() == jobspec.Running {
-		c.violationf("job %s is told to run before any run of it has started", id)
+		c.violationf("job %s is shown as running before any run of it has started", id)
 	}
 }
 
