simulation: paces, run times per task, cold workers

Cause: policies for uneven workers and unreliable run times have no tests, since all simulated workers and all tasks of a job are equally fast. A gang ended with its fastest member, and a run that had been stalled ended when it would have without the stall: the end that was scheduled first still applied. Change: Scenario.Paces, Arrival.TaskRunTimes and the fault Cold, which sets Listing.ColdLeft; a gang advances at the pace of its slowest member; an end only applies if the run was not resumed since it was scheduled. The checkpoints of a run whose speed changes keep their interval.

--- a/internal/scheduling/placement/worker.go
+++ b/internal/scheduling/placement/worker.go
@@ -22,6 +22,9 @@
 	// time until it does, in milliseconds.
 	Draining  bool
 	Remaining int64
+	// ColdLeft is the time for which the worker still runs tasks more slowly because its data
+	// centre or process has just started, in milliseconds; 0 once it is warm.
+	ColdLeft int64
 }
 
 // Target is the worker that an order is sent to.
--- a/internal/scheduling/simulation/cluster.go
+++ b/internal/scheduling/simulation/cluster.go
@@ -81,7 +81,10 @@
 }
 
 // taskRunTime returns the run time of a task of a step at full speed, in milliseconds.
-func (j *simulatedJob) taskRunTime(step int) int64 {
+func (j *simulatedJob) taskRunTime(step, index int) int64 {
+	if n := len(j.TaskRunTimes); n > 0 {
+		return max(1, j.TaskRunTimes[index%n])
+	}
 	if j.RunTime > 0 {
 		return j.RunTime
 	}
@@ -144,7 +147,10 @@
 
 // addWorker adds worker number i.
 func (c *Cluster) addWorker(i int) {
-	w := &worker{cluster: c, id: fmt.Sprintf("w%03d", i), rack: fmt.Sprintf("r%d", i/c.RackSize), clockRate: 0.98 + 0.02*c.rand.Float64()}
+	w := &worker{cluster: c, id: fmt.Sprintf("w%03d", i), rack: fmt.Sprintf("r%d", i/c.RackSize), clockRate: 0.98 + 0.02*c.rand.Float64(), pace: 1}
+	if n := len(c.Paces); n > 0 {
+		w.pace = c.Paces[i%n]
+	}
 	c.workers = append(c.workers, w)
 	w.boot()
 }
@@ -354,7 +360,7 @@
 	case Hang:
 		w.hung = true
 		for _, r := range w.sortedRuns() {
-			r.base, r.since = r.workDone(), 0
+			r.pause()
 		}
 		c.schedule(f.Duration, func() {
 			w.hung = false
@@ -367,6 +373,8 @@
 	case Slow:
 		w.slowFactor = f.Magnitude
 		c.schedule(f.Duration, func() { w.slowFactor = 1 })
+	case Cold:
+		w.cool(f.Duration)
 	case Crash:
 		w.crash(f.Duration)
 	case Leave:
@@ -425,6 +433,7 @@
 	return &placement.Listing{
 		ID: w.id, Lifetime: w.lifetime, Address: w.id, Service: w.cluster.Service, Labels: []string{"a", w.rack},
 		Capacity: w.cluster.Capacity, Draining: w.draining, Remaining: 2500,
+		ColdLeft: max(0, w.coldUntil-w.cluster.now),
 	}
 }
 
--- a/internal/scheduling/simulation/scenario.go
+++ b/internal/scheduling/simulation/scenario.go
@@ -45,6 +45,9 @@
 	// Trace is called with a description of each order, start, end and line of a
 	// coordinator's log; nil for none.
 	Trace func(string)
+	// Paces are the workers' paces: worker i takes Paces[i%len(Paces)] times as long to run
+	// tasks. If empty, all workers have pace 1.
+	Paces []float64
 	// RemoteFactor is the factor by which tasks run slower away from the rack of their data
 	// or spread over several racks; default 3.
 	RemoteFactor float64
@@ -56,6 +59,9 @@
 	Spec jobspec.Spec
 	// RunTime is the actual run time of each task; 0 means its estimate.
 	RunTime int64
+	// TaskRunTimes, if not empty, replaces RunTime: the actual run time at pace 1 of the task with
+	// index i of a step is TaskRunTimes[i%len(TaskRunTimes)].
+	TaskRunTimes []int64
 	// AlwaysFails is set for a job whose tasks fail on every worker.
 	AlwaysFails bool
 	// CancelAt is when the caller cancels the job; 0 for never.
@@ -76,6 +82,9 @@
 	Hang FaultKind = "hang"
 	// Slow makes runs on the workers take Magnitude times as long.
 	Slow FaultKind = "slow"
+	// Cold makes the workers announce that they are cold for Duration, and run tasks coldFactor
+	// times as long until then.
+	Cold FaultKind = "cold"
 	// Crash ends the workers' processes, which restart in a new lifetime and without runs
 	// after Duration.
 	Crash FaultKind = "crash"
--- a/internal/scheduling/simulation/worker.go
+++ b/internal/scheduling/simulation/worker.go
@@ -39,6 +39,10 @@
 	// unhealthy, hung and slowFactor are set by faults.
 	unhealthy, hung bool
 	slowFactor      float64
+	// pace is the factor by which tasks take longer on the worker when it is warm, and coldUntil
+	// is when it becomes warm.
+	pace      float64
+	coldUntil int64
 	// pendingPoll answers the poll that waits for an end; nil for none.
 	pendingPoll func()
 }
@@ -55,13 +59,20 @@
 	base, total int64
 	since       int64
 	speed       float64
-	ended       bool
+	// restored is the work of the checkpoint that the run started from.
+	restored int64
+	// resumes counts the calls of resume. The end scheduled by an earlier one does not apply.
+	resumes int
+	ended   bool
 }
 
 // gang is one run of all tasks of a step; members has the runs by index of the task.
 type gang struct {
 	members map[int]*run
 	started bool
+	// duration is how long all of the gang's work takes at the pace of its slowest member, in
+	// milliseconds. It is set once the gang has started.
+	duration float64
 }
 
 type gangKey struct {
@@ -164,13 +175,13 @@
 // startRun starts a run. A gang makes progress once all its members have started.
 func (w *worker) startRun(o *placement.Start) {
 	j := w.cluster.jobs[o.Task.Job]
-	r := &run{worker: w, job: j, task: o.Task, run: o.Run, arrived: w.cluster.now, total: j.taskRunTime(o.Task.Step)}
+	r := &run{worker: w, job: j, task: o.Task, run: o.Run, arrived: w.cluster.now, total: j.taskRunTime(o.Task.Step, o.Task.Index)}
 	if o.Checkpoint != "" {
 		base, err := strconv.ParseInt(o.Checkpoint, 16, 64)
 		if err != nil {
 			w.cluster.violationf("a run starts from the checkpoint %q, which no worker has reported", o.Checkpoint)
 		}
-		r.base = base
+		r.base, r.restored = base, base
 	}
 	w.cluster.checkStart(r)
 	w.runs[o.Task] = r
@@ -189,9 +200,7 @@
 	g.members[o.Task.Index] = r
 	if g.liveMembers() == r.step().Tasks {
 		g.started = true
-		for _, m := range g.sorted() {
-			m.resume()
-		}
+		g.resume()
 		return
 	}
 	w.cluster.schedule(w.cluster.GangWait, func() {
@@ -239,19 +248,44 @@
 		return
 	}
 	r.since, r.speed = r.cluster.now, 1/r.slowdown()
-	if r.unhealthy || r.job.AlwaysFails {
-		r.cluster.schedule(r.total/8+1, func() { r.finish(placement.EndFailed) })
-		return
+	if g := r.gang(); g != nil {
+		r.speed = float64(r.total) / g.duration
 	}
-	if r.step().LongRunning {
-		return
+	r.resumes++
+	switch {
+	case r.unhealthy || r.job.AlwaysFails:
+		r.finishIn(r.total/8+1, placement.EndFailed)
+	case !r.step().LongRunning:
+		r.finishIn(int64(float64(r.total-r.base)/r.speed)+1, placement.EndDone)
 	}
-	r.cluster.schedule(int64(float64(r.total-r.base)/r.speed)+1, func() { r.finish(placement.EndDone) })
 }
 
-// slowdown returns the factor by which the run takes longer than at full speed.
+// finishIn finishes the run in d milliseconds, unless it is resumed again before that.
+func (r *run) finishIn(d int64, outcome placement.Outcome) {
+	n := r.resumes
+	r.cluster.schedule(d, func() {
+		if r.resumes == n {
+			r.finish(outcome)
+		}
+	})
+}
+
+// resume continues all members. The percentages of all of them advance alike, as fast as that of
+// the slowest one.
+func (g *gang) resume() {
+	g.duration = 0
+	for _, m := range g.members {
+		g.duration = max(g.duration, float64(m.total)*m.slowdown())
+	}
+	for _, m := range g.sorted() {
+		m.resume()
+	}
+}
+
+// slowdown returns the factor by which the run would take longer than at full speed if it did not
+// have to wait for other members of its gang.
 func (r *run) slowdown() float64 {
-	x := max(1, r.slowFactor)
+	x := r.currentPace()
 	if d := r.step().DataRack; d != "" && d != r.rack {
 		return x * r.cluster.RemoteFactor
 	}
@@ -285,19 +319,26 @@
 // checkpoint returns the run's newest checkpoint, or with exact one of its current state;
 // empty for none.
 func (r *run) checkpoint(exact bool) string {
-	if !r.step().Checkpoints {
-		return ""
-	}
-	d := r.workDone()
-	if !exact {
-		d = max(r.base, d-d%r.cluster.CheckpointInterval)
-	}
+	d := r.savedWork(exact)
 	if d == 0 {
 		return ""
 	}
 	return fmt.Sprintf("%016x", d)
 }
 
+// savedWork returns the work that the run's newest checkpoint has, or with exact one of its
+// current state.
+func (r *run) savedWork(exact bool) int64 {
+	d := r.workDone()
+	switch {
+	case !r.step().Checkpoints:
+		return 0
+	case exact:
+		return d
+	}
+	return max(r.restored, d-d%r.cluster.CheckpointInterval)
+}
+
 // endRun ends a run. The other members of its gang end too: as done if the run is done, and
 // otherwise as broken if the gang has started.
 func (w *worker) endRun(r *run, outcome placement.Outcome) {
