simulation: punctuality and lost work in the results

Cause: Result.Lateness compares with the caller's estimate, which can't be trusted, and nothing counts the work that preemptions lose. Change: Result has Ended, OnTime by the actual run times, and Wasted, the core seconds of what runs without success had done beyond their newest checkpoints.

--- a/internal/scheduling/simulation/cluster.go
+++ b/internal/scheduling/simulation/cluster.go
@@ -68,6 +68,11 @@
 	state   jobspec.State
 	tasks   map[jobspec.TaskID]*simulatedTask
 	starts  int
+	// succeeded is the number of tasks that have succeeded, and lastSuccessAt when the last of
+	// them did. wasted is as in Result.
+	succeeded     int
+	lastSuccessAt int64
+	wasted        float64
 }
 
 // simulatedTask is the actual state of a task.
--- a/internal/scheduling/simulation/invariants.go
+++ b/internal/scheduling/simulation/invariants.go
@@ -113,9 +113,7 @@
 	if outcome == placement.EndGangIncomplete && r.job.cancelledAt == 0 && !c.hasFaults() {
 		c.violationf("%v run %d timed out waiting for the rest of its gang", r.task, r.run)
 	}
-	if outcome == placement.EndDone {
-		t.succeeded = true
-	}
+	c.noteEnd(r, t, outcome)
 }
 
 // hasFaults reports whether the scenario has any fault.
@@ -172,6 +170,16 @@
 	Lateness int64
 	// Starts is the number of runs that were started.
 	Starts int
+	// Ended is the time from the submission until the last task had succeeded on its worker, in
+	// milliseconds; -1 if not all have. OnTime is set if it is within the objective that the actual
+	// run times give: the stretch times those of the longest chain of steps, plus the slack. Both are
+	// meant for jobs of one occurrence.
+	Ended  int64
+	OnTime bool
+	// Wasted is the capacity that the job's runs took for work that was lost, in core seconds by
+	// Resources.Weight: what runs that were stopped, broken or lost with their worker had done beyond
+	// their newest checkpoints. Failed and long-running tasks and cancelled jobs are not counted.
+	Wasted float64
 }
 
 // Results returns the results of the submitted jobs, in the order of Scenario.Jobs.
@@ -182,7 +190,7 @@
 		if j == nil {
 			continue
 		}
-		r := Result{ID: j.spec.ID, State: j.state, Waited: -1, Took: -1, Starts: j.starts}
+		r := Result{ID: j.spec.ID, State: j.state, Waited: -1, Took: -1, Starts: j.starts, Ended: -1, Wasted: j.wasted}
 		if j.startedAt > 0 {
 			r.Waited = j.startedAt - j.At
 		}
@@ -190,6 +198,10 @@
 			r.Took = j.endedAt - j.At
 			r.Lateness = r.Took - j.spec.Objective()
 		}
+		if j.succeeded == j.spec.TaskCount()*j.spec.OccurrenceCount() {
+			r.Ended = j.lastSuccessAt - j.spec.AcceptedAt
+			r.OnTime = r.Ended <= j.actualObjective()
+		}
 		out = append(out, r)
 	}
 	return out
