--- a/internal/scheduling/simulation/invariants.go
+++ b/internal/scheduling/simulation/invariants.go
@@ -171,11 +171,11 @@
 	// Starts is the number of runs that were started.
 	Starts int
 	// Ended is the time from the submission until the last task had succeeded on its worker, in
-	// milliseconds; -1 if not all have. OnTime is set if it is within the objective that the actual
-	// run times give: the stretch times those of the longest chain of steps, plus the slack. Both are
-	// meant for jobs of one occurrence.
-	Ended  int64
-	OnTime bool
+	// milliseconds; -1 if not all have. Objective is the objective by the actual run times, in
+	// milliseconds: the stretch times those of the longest chain of steps, plus the slack. OnTime is
+	// set if Ended is within it. They are meant for jobs of one occurrence.
+	Ended, Objective int64
+	OnTime           bool
 	// Wasted is the capacity that the job's runs took for work that was lost, in core seconds by
 	// Resources.Weight: what runs that were stopped, broken or lost with their worker had done beyond
 	// their newest checkpoints. Failed and long-running tasks and cancelled jobs are not counted.
@@ -190,7 +190,7 @@
 		if j == nil {
 			continue
 		}
-		r := Result{ID: j.spec.ID, State: j.state, Waited: -1, Took: -1, Starts: j.starts, Ended: -1, Wasted: j.wasted}
+		r := Result{ID: j.spec.ID, State: j.state, Waited: -1, Took: -1, Starts: j.starts, Ended: -1, Objective: j.actualObjective(), Wasted: j.wasted}
 		if j.startedAt > 0 {
 			r.Waited = j.startedAt - j.At
 		}
@@ -200,7 +200,7 @@
 		}
 		if j.succeeded == j.spec.TaskCount()*j.spec.OccurrenceCount() {
 			r.Ended = j.lastSuccessAt - j.spec.AcceptedAt
-			r.OnTime = r.Ended <= j.actualObjective()
+			r.OnTime = r.Ended <= r.Objective
 		}
 		out = append(out, r)
 	}
