--- a/internal/host/hostconfig/settings.go
+++ b/internal/host/hostconfig/settings.go
@@ -40,6 +40,9 @@
 	MaxAppendBytes int64
 	// MaxRecordBytes is the largest size of one record, in bytes; 0 means that of the platform.
 	MaxRecordBytes int64
+	// EvacuationTimeout is the time after which no task may start in a data centre under evacuation;
+	// 0 if there are no evacuations.
+	EvacuationTimeout int64
 }
 
 // NeedsRestart returns the names of the settings that differ from old and take
--- a/internal/scheduling/placement/worker.go
+++ b/internal/scheduling/placement/worker.go
@@ -22,6 +22,9 @@
 	// time until it does, in milliseconds.
 	Draining  bool
 	Remaining int64
+	// ColdLeft is how long the worker is still slow after its start, in milliseconds; 0 if it is
+	// warm.
+	ColdLeft int64
 }
 
 // Target is the worker that an order is sent to.
