coordinator: no start orders to data centres under evacuation

Cause: the coordinator knew no evacuations. The operators allow 5 s from the confirmed request to the last start there. Change: Event.Evacuated and State.Evacuated put a set in force. Workers there are unschedulable, unsent placements are withdrawn, unanswered starts are not repeated but decided by the next list of runs, and a gang goes as a whole. Starts need records of the operators that are at most MaxOperatorAge old, also when they are written to the connection. Cold workers are used last in deployments with evacuations. The simulation has the faults Evacuate and OperatorsCut. Result: go test ./internal/scheduling/... passes.

--- a/internal/scheduling/coordinator/attempt.go
+++ b/internal/scheduling/coordinator/attempt.go
@@ -175,7 +175,7 @@
 	s.effects = append(s.effects, Effect{Start: &Start{Target: w.target(), Order: placement.Start{
 		Task: a.taskID(), Run: a.run, Payload: a.job.spec.Payload, Lease: leaseEnd, Token: s.Term,
 		Checkpoint: checkpoint, Ticket: s.ticket(a), Delay: s.callDelay(),
-	}, ExpiresAt: s.soleUntil()}})
+	}, ExpiresAt: s.startUntil()}})
 }
 
 // withdrawUnit withdraws a placement for which no start order was sent and requeues its
@@ -318,9 +318,7 @@
 	s.startAnswered(a, e.Reply.Verdict)
 }
 
-// startAnswered handles the answer to a start order. An order that was not answered or
-// not sent is retried until MaxStartOrders were sent. After that, the unit is aborted if
-// one of them may have been executed; otherwise the attempt ends as refused.
+// startAnswered handles the answer to a start order.
 func (s *State) startAnswered(a *attempt, v placement.Verdict) {
 	if a.phase != phaseSent {
 		// A stop or the worker's list of runs has overtaken the answer.
@@ -338,22 +336,7 @@
 		s.log("started", slog.String("id", a.job.id), slog.Int("step", a.step), slog.Int("index", a.index),
 			slog.Int("run", a.run), slog.String("worker", a.w.ID), slog.Int("try", a.startOrders))
 	case placement.Unanswered, placement.NotSent:
-		a.maybeStarted = a.maybeStarted || v == placement.Unanswered
-		if !s.soleLeader() || s.mustEndLease(a.w) {
-			// The process may have been paused, and another coordinator may have taken over.
-			a.phase = phaseUnconfirmed
-			return
-		}
-		if a.startOrders < s.MaxStartOrders && !a.aborted && !a.w.Draining && a.lifetime == a.w.currentLifetime {
-			s.sendStart(a)
-			return
-		}
-		if !a.maybeStarted {
-			s.startRefused(a, v)
-			return
-		}
-		a.w.recordFailure(s, a.job, a.step, "starts are not answered")
-		s.abortUnit(a.unit, "a start was not answered")
+		s.startUnanswered(a, v)
 	case placement.Superseded:
 		// The run has ended there or was stopped. A list requested from now on has its end, if there
 		// is one.
@@ -370,6 +353,29 @@
 	}
 }
 
+// startUnanswered handles a start order that was not answered or not sent. It is retried until
+// MaxStartOrders were sent. After that, the unit is aborted if one of them may have been
+// executed; otherwise the attempt ends as refused.
+func (s *State) startUnanswered(a *attempt, v placement.Verdict) {
+	a.maybeStarted = a.maybeStarted || v == placement.Unanswered
+	if !s.mayStart() || s.mustEndLease(a.w) || a.w.evacuated && a.maybeStarted {
+		// The process may have been paused, and another coordinator may have taken over. In a data
+		// centre under evacuation, the next list of runs shows whether the order was executed.
+		a.phase = phaseUnconfirmed
+		return
+	}
+	if a.startOrders < s.MaxStartOrders && !a.aborted && !a.w.Draining && !a.w.evacuated && a.lifetime == a.w.currentLifetime {
+		s.sendStart(a)
+		return
+	}
+	if !a.maybeStarted {
+		s.startRefused(a, v)
+		return
+	}
+	a.w.recordFailure(s, a.job, a.step, "starts are not answered")
+	s.abortUnit(a.unit, "a start was not answered")
+}
+
 // startRefused ends an attempt whose start order was certainly not executed.
 func (s *State) startRefused(a *attempt, v placement.Verdict) {
 	s.log("start refused", slog.String("id", a.job.id), slog.Int("step", a.step), slog.Int("index", a.index),
--- a/internal/scheduling/coordinator/event.go
+++ b/internal/scheduling/coordinator/event.go
@@ -19,6 +19,9 @@
 	// one before it took, its effects included, in milliseconds. For an event that is handled
 	// before others that wait, Waited is that of the last one that was not.
 	Waited, Took int64
+	// OperatorAge is how long ago the read was sent that last showed the operators' records to be
+	// complete, in milliseconds. It counts only changes that were passed on before this event.
+	OperatorAge int64
 
 	Job           *JobChanged
 	Listed        *placement.Listing
@@ -27,6 +30,7 @@
 	OrderAnswered *OrderAnswered
 	Recorded      *Recorded
 	Configured    *queueconfig.Configuration
+	Evacuated     *Evacuated
 	Advice        *Advice
 	// Replaced is the reason why the store rejects this coordinator's records for good;
 	// empty otherwise.
--- a/internal/scheduling/coordinator/pacing.go
+++ b/internal/scheduling/coordinator/pacing.go
@@ -230,7 +230,7 @@
 		w.pollQueued = false
 		s.poll(w)
 	}
-	if len(s.queuedUnits) == 0 || s.callDelay() >= startBurst || !s.soleLeader() {
+	if len(s.queuedUnits) == 0 || s.callDelay() >= startBurst || !s.mayStart() {
 		return
 	}
 	slices.SortStableFunc(s.queuedUnits, func(a, b *unit) int {
--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -379,6 +379,7 @@
 		pool.workers = append(pool.workers, w)
 		pool.candidates = append(pool.candidates, placement.Candidate{
 			ID: w.ID, Rack: w.rack, Labels: w.Labels, Free: w.Capacity.Sub(w.used), Capacity: w.Capacity, Avoided: w.failures > 0,
+			Cold: s.cold(w),
 		})
 	}
 	pool.racks = placement.ByRack(pool.candidates)
--- a/internal/scheduling/coordinator/presumed_test.go
+++ b/internal/scheduling/coordinator/presumed_test.go
@@ -23,9 +23,11 @@
 	now   int64
 	// wallSkip is the time of day minus now.
 	wallSkip int64
-	starts   []*coordinator.Start
-	stops    []*coordinator.Stop
-	polls    []*coordinator.Poll
+	// operatorAge is Event.OperatorAge of all events.
+	operatorAge int64
+	starts      []*coordinator.Start
+	stops       []*coordinator.Stop
+	polls       []*coordinator.Poll
 	// queries holds the queries to the advisory service.
 	queries []*coordinator.QueryAdvice
 	// ended holds the ends that the next answer to a poll reports. moreEnds is set while the
@@ -117,7 +119,7 @@
 }
 
 func (x *exchange) apply(e coordinator.Event) {
-	e.Now, e.Wall = x.now, x.now+x.wallSkip
+	e.Now, e.Wall, e.OperatorAge = x.now, x.now+x.wallSkip, x.operatorAge
 	x.collect(x.state.Apply(&e))
 }
 
--- a/internal/scheduling/coordinator/state.go
+++ b/internal/scheduling/coordinator/state.go
@@ -66,6 +66,9 @@
 	// number of calls a second that would take all of its processor time. Polls and start
 	// orders are held back accordingly; 0 means no limit.
 	LinkRate, CallRate float64
+	// MaxOperatorAge is how old the operators' records may be when start orders are sent, as
+	// Event.OperatorAge; 0 for no bound.
+	MaxOperatorAge int64
 	// MaxRecordBytes is the largest record that the store accepts, in bytes. Default 262144.
 	MaxRecordBytes int
 	// Host and Incarnation identify this process in its claim records.
@@ -125,6 +128,8 @@
 	// RecordedCheckpoints holds the checkpoints that are recorded beside the details. Those of
 	// a job are passed on to it.
 	RecordedCheckpoints jobstate.Checkpoints
+	// Evacuated holds the data centres under evacuation at the start of the term.
+	Evacuated []string
 
 	// now and wall are the times of the newest event; see Event.
 	now, wall int64
@@ -151,6 +156,7 @@
 	recorder
 	advisor
 	pacing
+	evacuations
 
 	// planDue is set when the waiting tasks should be considered again; plannedAt is
 	// the time of the last scheduling pass. fullPlanDue is set when those that are not urgent
@@ -241,6 +247,7 @@
 	if predecessorsGone {
 		s.markPredecessorsGone()
 	}
+	s.startEvacuations()
 	runs := 0
 	for id, j := range table.Jobs {
 		if j.Spec == nil {
@@ -375,6 +382,7 @@
 func (s *State) Apply(e *Event) []Effect {
 	s.now, s.wall = max(s.now, e.Now), e.Wall
 	s.notePace(e)
+	s.operatorsReadAt = s.now - e.OperatorAge
 	switch {
 	case s.resigned:
 		return nil
@@ -390,6 +398,8 @@
 		s.orderAnswered(e.OrderAnswered)
 	case e.Recorded != nil:
 		s.batchRecorded(e.Recorded)
+	case e.Evacuated != nil:
+		s.evacuationsChanged(e.Evacuated)
 	case e.Advice != nil:
 		s.adviceAnswered(e.Advice)
 	case e.PredecessorsGone:
--- a/internal/scheduling/coordinator/worker.go
+++ b/internal/scheduling/coordinator/worker.go
@@ -75,6 +75,10 @@
 	// moreEnds is set while the last list of ends may lack the newest ones.
 	moreEnds bool
 
+	// evacuated is set while the worker's data centre is under evacuation, and coldUntil when the
+	// worker is warm.
+	evacuated bool
+	coldUntil int64
 	// unschedulableUntil is when the worker may receive new tasks again, and quarantinedUntil
 	// when it may receive those that other workers can hold.
 	unschedulableUntil, quarantinedUntil int64
@@ -119,6 +123,8 @@
 	w := s.workerFor(l.ID)
 	if w.listed && w.Lifetime == l.Lifetime && w.Draining == l.Draining && w.Address == l.Address {
 		w.Listing, w.unlistedAt = *l, 0
+		s.noteColdTime(w)
+		s.updateEvacuation(w)
 		return
 	}
 	if w.previousLifetime != 0 && l.Lifetime == w.previousLifetime {
@@ -127,6 +133,8 @@
 	s.log("worker listed", slog.String("worker", l.ID), slog.Int64("born", l.Lifetime), slog.Bool("draining", l.Draining),
 		slog.String("service", l.Service), slog.Any("labels", l.Labels))
 	w.Listing, w.listed, w.unlistedAt, w.lifetimeOver = *l, true, 0, false
+	s.noteColdTime(w)
+	s.updateEvacuation(w)
 	if n := len(l.Labels); n > 0 {
 		w.rack = l.Labels[n-1]
 	}
@@ -370,6 +378,10 @@
 	switch a.phase {
 	case phasePlanned, phaseSent:
 	case phaseUnconfirmed:
+		if a.w.evacuated && a.sentAt >= polledAt {
+			// The order may have been executed since. It is not repeated there.
+			return
+		}
 		s.handleUnconfirmed(a)
 	case phaseRunning:
 		switch {
@@ -399,7 +411,9 @@
 		s.stop(a, "its gang cannot complete")
 	case a.w.Draining:
 		s.abortUnit(a.unit, "its worker is about to leave")
-	case s.soleLeader() && !s.mustEndLease(a.w) && !a.job.hasOrphan(a.unit):
+	case a.w.evacuated:
+		s.abortUnit(a.unit, "data centre "+a.w.DataCentre+" is evacuated")
+	case s.mayStart() && !s.mustEndLease(a.w) && !a.job.hasOrphan(a.unit):
 		s.sendStart(a)
 	}
 }
@@ -647,7 +661,7 @@
 
 // unschedulable reports whether w must not receive new tasks.
 func (s *State) unschedulable(w *worker) bool {
-	return !w.listed || !w.reconciled || w.lifetimeOver || w.Draining || s.mustEndLease(w) || !w.entryIsCurrent() || s.now < w.unschedulableUntil ||
+	return w.evacuated || !w.listed || !w.reconciled || w.lifetimeOver || w.Draining || s.mustEndLease(w) || !w.entryIsCurrent() || s.now < w.unschedulableUntil ||
 		w.silentSince != 0 && s.now-w.silentSince > s.PollWait
 }
 
@@ -656,9 +670,10 @@
 func (w *worker) entryIsCurrent() bool { return w.Lifetime == 0 || w.Lifetime == w.currentLifetime }
 
 // mayStartOn reports whether a task that was placed on w may be started there: w is still in
-// the lifetime that its entry describes, stays, and may get a lease.
+// the lifetime that its entry describes, stays, may get a lease, and is not in a data centre under
+// evacuation.
 func (s *State) mayStartOn(w *worker) bool {
-	return !w.lifetimeOver && w.entryIsCurrent() && !s.leaving(w) && !s.mustEndLease(w)
+	return !w.evacuated && !w.lifetimeOver && w.entryIsCurrent() && !s.leaving(w) && !s.mustEndLease(w)
 }
 
 // leaving reports whether w is about to leave or has left the directory, so that no start
--- a/internal/scheduling/placement/candidate.go
+++ b/internal/scheduling/placement/candidate.go
@@ -25,6 +25,9 @@
 	// Avoided candidates are chosen last, because tasks of the step have failed or stalled
 	// there, or other runs have since the worker's last success.
 	Avoided bool
+	// Cold candidates are still slow after their start. They are chosen after all others that are
+	// not avoided.
+	Cold bool
 }
 
 // Request is a number of identical tasks to place. The functions of this package return
@@ -78,29 +81,36 @@
 
 // PlaceInRack returns places for all tasks of r on one rack, or nil when no rack has
 // enough free capacity. It prefers the rack of the data, then racks that do not need
-// avoided candidates, then the rack on which the fewest tasks fit.
+// avoided candidates, then those that do not need cold ones, then the rack on which the fewest
+// tasks fit.
 func PlaceInRack(candidates []Candidate, racks map[string][]int, r *Request) []int {
 	var best []int
-	bestRank := [3]int{}
+	bestRank := [4]int{}
 	for rack, indices := range racks {
-		fits, avoided := 0, 0
+		fits, avoided, cold := 0, 0, 0
 		for _, i := range indices {
 			n := r.Fit(&candidates[i])
 			fits += n
-			if candidates[i].Avoided {
+			switch {
+			case candidates[i].Avoided:
 				avoided += n
+			case candidates[i].Cold:
+				cold += n
 			}
 		}
 		if fits < r.Tasks {
 			continue
 		}
-		rank := [3]int{0, 0, fits}
+		rank := [4]int{0, 0, 0, fits}
 		if r.Step.DataRack != "" && rack != r.Step.DataRack {
 			rank[0] = 1
 		}
 		if fits-avoided < r.Tasks {
 			rank[1] = 1
 		}
+		if cold > 0 && fits-avoided-cold < r.Tasks {
+			rank[2] = 1
+		}
 		if best == nil || slices.Compare(rank[:], bestRank[:]) < 0 || rank == bestRank && indices[0] < best[0] {
 			best, bestRank = indices, rank
 		}
@@ -170,8 +180,8 @@
 }
 
 // Fill returns places for as many tasks of r as fit on the candidates at the given
-// indices. It prefers candidates that are not avoided, then the rack of the data, then
-// those with the least free capacity, so that others stay empty.
+// indices. It prefers candidates that are neither cold nor avoided, then those that are not
+// avoided, then the rack of the data, then those with the least free capacity, so that others stay empty.
 func Fill(candidates []Candidate, indices []int, r *Request) []int {
 	type option struct {
 		index, fit int
@@ -185,7 +195,10 @@
 			continue
 		}
 		o := option{index: i, fit: n}
-		if c.Avoided {
+		switch {
+		case c.Avoided:
+			o.rank[0] = 2
+		case c.Cold:
 			o.rank[0] = 1
 		}
 		if r.Step.DataRack != "" && c.Rack != r.Step.DataRack {
--- a/internal/scheduling/simulation/cluster.go
+++ b/internal/scheduling/simulation/cluster.go
@@ -47,6 +47,7 @@
 	// leader is the newest coordinator, the only one whose records the store accepts.
 	leader    *coordinatorHost
 	storeDown bool
+	operators
 	// lateProbability is the probability that an order is executed late, and
 	// latePollProbability that a poll is.
 	lateProbability, latePollProbability float64
@@ -265,6 +266,8 @@
 // inject injects a fault.
 func (c *Cluster) inject(f Fault) {
 	switch f.Kind {
+	case Evacuate, OperatorsCut:
+		c.injectOperators(f)
 	case LateOrders:
 		c.lateProbability = f.Magnitude
 		c.schedule(f.Duration, func() { c.lateProbability = 0 })
@@ -424,7 +427,7 @@
 func (w *worker) listing() *placement.Listing {
 	return &placement.Listing{
 		ID: w.id, Lifetime: w.lifetime, Address: w.id, Service: w.cluster.Service, Labels: []string{"a", w.rack},
-		Capacity: w.cluster.Capacity, Draining: w.draining, Remaining: 2500,
+		Capacity: w.cluster.Capacity, Draining: w.draining, Remaining: 2500, DataCentre: w.dataCentre(),
 	}
 }
 
--- a/internal/scheduling/simulation/coordinator.go
+++ b/internal/scheduling/simulation/coordinator.go
@@ -28,6 +28,7 @@
 	// linkFreeAt is when the link has carried all that was sent, in milliseconds.
 	linkFreeAt float64
 	processor
+	operatorsCopy
 	// stopped is set once the coordinator has resigned or died. It then receives no events.
 	stopped bool
 	// suspending is set shortly before the process is suspended, while what it sends does
@@ -115,6 +116,7 @@
 	c.write(r)
 	c.leader = host
 	host.state = coordinator.State{Settings: c.Coordinator, Term: host.term, PriorLeases: leases, PriorLongLeases: long, RecordedLeases: maps.Clone(c.leases)}
+	host.state.Evacuated = host.startOperators()
 	host.execute(host.state.Start(c.now, c.now, &c.table, c.details, c.Configuration, predecessorsGone))
 	for _, w := range c.workers {
 		if w.listed {
@@ -129,6 +131,7 @@
 		return
 	}
 	if !h.suspended {
+		h.readOperators()
 		h.apply(coordinator.Event{})
 	}
 	h.cluster.replaceSilent(h)
@@ -147,7 +150,7 @@
 		h.enqueue(e)
 		return
 	}
-	e.Now, e.Wall = h.cluster.now, h.cluster.now
+	e.Now, e.Wall, e.OperatorAge = h.cluster.now, h.cluster.now, h.operatorAge()
 	h.execute(h.state.Apply(&e))
 }
 
--- a/internal/scheduling/simulation/invariants.go
+++ b/internal/scheduling/simulation/invariants.go
@@ -51,6 +51,7 @@
 	if r.step().Gang {
 		c.checkGangStart(r)
 	}
+	c.checkEvacuated(r)
 	for _, other := range t.live {
 		if !other.ended && other.up {
 			c.violationf("%v run %d starts on %s while run %d is running on %s", r.task, r.run, r.id, other.run, other.id)
--- a/internal/scheduling/simulation/processor.go
+++ b/internal/scheduling/simulation/processor.go
@@ -10,7 +10,7 @@
 // it causes takes. It is used if Scenario.CallRate is set.
 type processor struct {
 	// waiting holds the events that have not been handled, in the order of their arrival, but
-	// recorded batches first, as the driver handles them. Their Now is when they arrived.
+	// changes of evacuations and then recorded batches first, as the driver handles them. Their Now is when they arrived.
 	waiting []coordinator.Event
 	// busy is set while an event is handled, and tickWaiting while waiting has an event without
 	// content.
@@ -43,9 +43,16 @@
 		h.tickWaiting = true
 	}
 	e.Now = h.cluster.now
-	if e.Recorded != nil {
+	switch {
+	case e.Evacuated != nil:
 		h.waiting = slices.Insert(h.waiting, 0, e)
-	} else {
+	case e.Recorded != nil:
+		first := 0
+		for first < len(h.waiting) && h.waiting[first].Evacuated != nil {
+			first++
+		}
+		h.waiting = slices.Insert(h.waiting, first, e)
+	default:
 		h.waiting = append(h.waiting, e)
 	}
 	h.handleNext()
@@ -61,11 +68,11 @@
 	if e == (coordinator.Event{Now: e.Now}) {
 		h.tickWaiting = false
 	}
-	if e.Recorded == nil || len(h.waiting) == 0 {
+	if e.Recorded == nil && e.Evacuated == nil || len(h.waiting) == 0 {
 		h.waited = h.cluster.now - e.Now
 	}
 	e.Waited, e.Took = h.waited, h.took
-	e.Now, e.Wall = h.cluster.now, h.cluster.now
+	e.Now, e.Wall, e.OperatorAge = h.cluster.now, h.cluster.now, h.operatorAge()
 	effects := h.state.Apply(&e)
 	calls := eventCalls + float64(h.state.Examined()-h.examined)/examinedPerCall
 	h.examined = h.state.Examined()
--- a/internal/scheduling/simulation/scenario.go
+++ b/internal/scheduling/simulation/scenario.go
@@ -13,6 +13,12 @@
 	// Workers is the number of workers, and RackSize the number of workers per rack;
 	// RackSize defaults to 8.
 	Workers, RackSize int
+	// DataCentres is the number of data centres, which have the racks in turn and the names dc0,
+	// dc1 and so on; 0 if workers name none.
+	DataCentres int
+	// MaxEvacuationDelay is how long after the request to evacuate a data centre tasks may start
+	// there; default 5000.
+	MaxEvacuationDelay int64
 	// Capacity is the capacity of each worker; default 64 cores, 256 GiB and 8
 	// accelerators.
 	Capacity jobspec.Resources
@@ -110,6 +116,11 @@
 	// Linger makes the workers drain for Duration, longer than they announce. Other workers
 	// take their addresses afterwards.
 	Linger FaultKind = "linger"
+	// Evacuate requests the evacuation of the data centre number DataCentre for Duration, 0 meaning
+	// for good. Coordinators learn of both when they can read from the store.
+	Evacuate FaultKind = "evacuate"
+	// OperatorsCut makes coordinators unable to read the operators' records.
+	OperatorsCut FaultKind = "operatorsCut"
 )
 
 // Fault is a fault that is injected at a given time.
@@ -120,12 +131,15 @@
 	// the seed of the scenario, unless Workers names them.
 	Count   int
 	Workers []string
+	// DataCentre is the parameter of Evacuate.
+	DataCentre int
 	// Magnitude is the parameter of LateOrders, LatePolls, Slow and Reborn.
 	Magnitude float64
 }
 
 func (s *Scenario) init() {
 	setDefault(&s.RackSize, 8)
+	setDefault(&s.MaxEvacuationDelay, 5000)
 	if s.Capacity == (jobspec.Resources{}) {
 		s.Capacity = jobspec.Resources{Cores: 64_000, Memory: 262_144, Accelerators: 8}
 	}
