frontend: hosts follow the evacuations of data centres

Cause: the follower of keyed.op read only the configuration. Change: it keeps the set of evacuations; newest records replace it as a whole, and unreadable ones leave what is in force. Changes are stored in the critical section that reads postEvent, wait in a slot that is handled before all other events, and OperatorAge is read before the slot. The role is claimed only with records that allow starts.

--- a/cmd/limpetrelay/explain.go
+++ b/cmd/limpetrelay/explain.go
@@ -29,8 +29,8 @@
 		Usage:     "print the log lines of one job, merged from several hosts",
 		ArgsUsage: "ID FILE...",
 		Description: "Reads log files, or standard input for -, and prints the lines of the job in order of\n" +
-			"time, together with the lines in between about roles, dependencies, workers and the\n" +
-			"configuration. Lines that are not JSON are counted and skipped.\n\n" +
+			"time, together with the lines in between about roles, dependencies, workers, evacuations\n" +
+			"and the configuration. Lines that are not JSON are counted and skipped.\n\n" +
 			"Example: limpetrelay explain 5c0e7a21d94b36f8 front-*.log",
 		Action: func(_ context.Context, c *cli.Command) error {
 			args := c.Args().Slice()
@@ -67,12 +67,13 @@
 }
 
 // concernsAllJobs reports whether the line is printed for every job: changes of
-// role, dependencies, process, workers and configuration, and dropped log lines.
+// role, dependencies, process, workers, configuration and evacuations, and dropped log lines.
 // The messages must match those that hosts log, including hosts of older builds.
 func (l *logLine) concernsAllJobs() bool {
 	switch l.message {
 	case "role taken", "role lost", "role handed over", "dependency lost", "dependency regained", "start", "stop",
-		"worker quarantined", "worker lost", "log lines dropped", "configuration in force":
+		"worker quarantined", "worker lost", "log lines dropped", "configuration in force",
+		"data centre evacuated", "evacuation ended", "evacuation cannot be read":
 		return true
 	}
 	return false
--- a/cmd/limpetrelay/front.go
+++ b/cmd/limpetrelay/front.go
@@ -104,10 +104,11 @@
 			Topics: frontend.Topics{
 				Configuration: platform.TopicConfiguration, Workers: platform.TopicWorkers,
 				Status: platform.TopicStatus, Jobs: platform.TopicJobs, Details: platform.TopicDetails,
-				ConfigurationKey: platform.KeyConfiguration,
+				ConfigurationKey: platform.KeyConfiguration, EvacuationPrefix: platform.EvacuationPrefix,
 			},
 			DecodeConfiguration: platform.DecodeConfiguration, DecodeWorker: platform.DecodeWorker,
-			Start: w.Start, Stop: w.Stop, Poll: w.Poll,
+			DecodeEvacuation: platform.DecodeEvacuation,
+			Start:            w.Start, Stop: w.Stop, Poll: w.Poll,
 		},
 	}
 	if s.AdviceAddress != "" {
--- a/internal/host/frontend/dependencies.go
+++ b/internal/host/frontend/dependencies.go
@@ -20,16 +20,22 @@
 	// ConfigurationKey is the key of the configuration's record in the partition
 	// Configuration.
 	ConfigurationKey string
+	// EvacuationPrefix begins the keys of the requests to evacuate a data centre in the same
+	// partition; empty for none.
+	EvacuationPrefix string
 }
 
 // Dependencies are the external services, decoders and clocks that a host uses. All
-// but Monotonic, Wall and QueryAdvice are required.
+// but DecodeEvacuation, Monotonic, Wall and QueryAdvice are required.
 type Dependencies struct {
 	Store  keyedstore.Store
 	Topics Topics
 	// DecodeConfiguration and DecodeWorker decode the records of operators and workers.
 	DecodeConfiguration func([]byte) (*queueconfig.Configuration, error)
 	DecodeWorker        func(id string, b []byte) (placement.Listing, error)
+	// DecodeEvacuation decodes a request to evacuate a data centre and reports whether it is in force.
+	// It also returns the data centre if only the value cannot be read.
+	DecodeEvacuation func(key string, value []byte) (dataCentre string, active bool, err error)
 	// Start, Stop and Poll send orders to workers.
 	Start func(context.Context, placement.Target, placement.Start) placement.Reply
 	Stop  func(context.Context, placement.Target, placement.Stop) placement.Reply
--- a/internal/host/frontend/directory_test.go
+++ b/internal/host/frontend/directory_test.go
@@ -112,6 +112,57 @@
 	assert.Positive(t, polls.Load())
 }
 
+// Guards against an evacuation that a coordinator misses when it takes the role, against one that goes on
+// although it was withdrawn, or is not noticed although it was requested, while the store was away or its
+// records were dropped, and against records of other writers that begin or end one.
+func TestEvacuationsReachTheCoordinator(t *testing.T) {
+	s := newTestSystem(t)
+	s.configure(key)
+	s.store.Put(platform.TopicConfiguration, "evacuate/dc", []byte("{}"))
+	log := &logBuffer{}
+	var away, gap atomic.Bool
+	s.adjust = func(h *frontend.Host) {
+		h.Logger, h.EvacuationTimeout = slog.New(slog.NewJSONHandler(log, nil)), 5000
+		read := h.Store.Read
+		h.Store.Read = func(ctx context.Context, topic string, from uint64, wait time.Duration) (keyedstore.Page, error) {
+			switch {
+			case topic == platform.TopicConfiguration && away.Load():
+				return keyedstore.Page{}, fault.New(fault.Unavailable, "away", "wait")
+			case topic == platform.TopicConfiguration && gap.CompareAndSwap(true, false):
+				return keyedstore.Page{}, fault.New(fault.Gap, "dropped", "read the newest")
+			}
+			return read(ctx, topic, from, wait)
+		}
+	}
+	h, _, _ := s.startHost("host")
+	require.Eventually(t, h.IsLeader, 5*time.Second, time.Millisecond)
+	awaitLine := func(parts ...string) {
+		t.Helper()
+		require.Eventually(t, func() bool { return len(log.lines(parts...)) == 1 }, 5*time.Second, 5*time.Millisecond, "%v", parts)
+	}
+	awaitLine("data centre evacuated", `"dc"`, "atStart")
+	for k, v := range map[string]string{"evacuate/dc": "null", "evacuate/": "{}", "evacuate/odd": "[]"} {
+		s.store.Put(platform.TopicConfiguration, k, []byte(v))
+	}
+	s.store.Put(platform.TopicConfiguration, "evacuate/two", []byte("{}"))
+	awaitLine("data centre evacuated", `"two"`)
+	assert.Len(t, log.lines("evacuation cannot be read"), 3)
+	assert.Empty(t, log.lines("evacuation ended"))
+	away.Store(true)
+	time.Sleep(time.Second) // A read that was under way ends.
+	s.store.Put(platform.TopicConfiguration, "evacuate/two", nil)
+	s.store.Put(platform.TopicConfiguration, "evacuate/three", []byte("{}"))
+	gap.Store(true)
+	away.Store(false)
+	awaitLine("evacuation ended", `"two"`)
+	awaitLine("data centre evacuated", `"three"`)
+	assert.Empty(t, log.lines("evacuation ended", `"dc"`), "its newest record cannot be read")
+	h.UpdateGauges()
+	var b bytes.Buffer
+	h.Metrics.WriteJSON(&b)
+	assert.Regexp(t, `"evacuations":\s*\{\s*"value":\s*2\b`, b.String())
+}
+
 // Guards against an answer with a lifetime in the far future, after which the answers of
 // the worker's true lifetime were ignored and it was not polled any more.
 func TestLifetimeOfTheFutureIsNoAnswer(t *testing.T) {
--- a/internal/host/frontend/follow.go
+++ b/internal/host/frontend/follow.go
@@ -153,11 +153,12 @@
 	return next, nil
 }
 
-// followConfiguration keeps the configuration up to date until ctx ends.
+// followConfiguration keeps the configuration and the evacuations up to date until ctx ends.
 func (h *Host) followConfiguration(ctx context.Context) {
 	f := &follower{
 		Host: h, topic: h.Topics.Configuration, wait: configurationWait,
-		apply:    h.applyConfiguration,
+		apply:    h.applyOperatorRecord,
+		replace:  h.replaceOperatorRecords,
 		caughtUp: func(sent int64) { h.configVerifiedAt.Store(sent) },
 	}
 	f.follow(ctx)
@@ -171,6 +172,7 @@
 	}
 	c, err := h.DecodeConfiguration(e.Value)
 	if err != nil {
+		h.Metrics.Count("unreadableRecords", "", "configuration", 1)
 		h.Logger.Error("configuration cannot be read", slog.Uint64("offset", e.Offset), errorAttr(err))
 		return
 	}
--- a/internal/host/frontend/host.go
+++ b/internal/host/frontend/host.go
@@ -28,7 +28,8 @@
 	Metrics measure.Metrics
 
 	// config is nil until the first version has been read. configVerifiedAt is the time
-	// at which the read was sent that last confirmed config as the newest version.
+	// at which the read was sent that last confirmed config as the newest version, and
+	// evacuations as complete.
 	config           atomic.Pointer[queueconfig.Configuration]
 	configVerifiedAt atomic.Int64
 
@@ -45,6 +46,9 @@
 	// postEvent passes an event to this host's coordinator; nil while the host is not the
 	// coordinator.
 	postEvent func(coordinator.Event)
+	// evacuations is the copy of the operators' requests. A change is stored in the critical section
+	// in which postEvent is read, so that the coordinator either starts with it or is passed it.
+	evacuations evacuations
 
 	// reloadedSettings are the settings of the last reload; nil before the first.
 	reloadedSettings *hostconfig.Settings
--- a/internal/host/frontend/host_test.go
+++ b/internal/host/frontend/host_test.go
@@ -82,8 +82,9 @@
 			Topics: frontend.Topics{
 				Configuration: platform.TopicConfiguration, Workers: platform.TopicWorkers, Status: platform.TopicStatus,
 				Jobs: platform.TopicJobs, Details: platform.TopicDetails, ConfigurationKey: platform.KeyConfiguration,
+				EvacuationPrefix: platform.EvacuationPrefix,
 			},
-			DecodeConfiguration: platform.DecodeConfiguration, DecodeWorker: platform.DecodeWorker,
+			DecodeConfiguration: platform.DecodeConfiguration, DecodeWorker: platform.DecodeWorker, DecodeEvacuation: platform.DecodeEvacuation,
 			Start: w.Start, Stop: w.Stop, Poll: w.Poll,
 			Monotonic: func() int64 { return time.Since(began).Milliseconds() + 100_000 + clockSkip.Load() },
 		},
--- a/internal/host/frontend/leader.go
+++ b/internal/host/frontend/leader.go
@@ -79,6 +79,10 @@
 	if now-h.jobsVerifiedAt.Load() > maxClaimTableAge || now < h.ineligibleUntil {
 		return 0, prior, false
 	}
+	settings := h.currentSettings()
+	if bound := maxOperatorAge(&settings); bound > 0 && now-h.configVerifiedAt.Load() > bound {
+		return 0, prior, false
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	c := &h.table.Claim
@@ -173,12 +177,13 @@
 	l := &leader{
 		Host: h, events: make(chan postedEvent, eventBuffer), term: term,
 		jobs: partition{topic: h.Topics.Jobs, sequence: 1}, details: partition{topic: h.Topics.Details},
-		batches: make(chan *coordinator.Record, 1), recorded: make(chan postedEvent, 1),
+		batches: make(chan *coordinator.Record, 1), recorded: make(chan postedEvent, 1), evacuated: make(chan postedEvent, 1),
 		state: coordinator.State{
 			Settings: coordinator.Settings{
 				Lease: min(workerLease, settings.MaxLease), MaxLease: settings.MaxLease, GangWait: settings.GangWait, RemoteFactor: settings.RemoteFactor, RestoreTime: settings.RestoreTime,
 				Retention: settings.Retention, LinkRate: settings.LinkRate, CallRate: settings.CoreShare * callsPerCore, MaxRecordBytes: int(settings.MaxRecordBytes),
-				Host: h.Name(), Incarnation: h.Incarnation,
+				MaxOperatorAge: maxOperatorAge(&settings),
+				Host:           h.Name(), Incarnation: h.Incarnation,
 			},
 			Term: term, ClaimedAt: claimedAt,
 		},
@@ -202,12 +207,7 @@
 	defer h.leading.Store(false)
 	h.Metrics.SetGauge("term", float64(term))
 	ends := make(chan struct{}, 2)
-	h.mu.Lock()
-	effects := l.state.Start(h.now(), h.Wall().UnixMilli(), &h.table, details, h.config.Load(),
-		h.table.PredecessorsGone(&prior.Claim, h.Name()))
-	h.priorClaim = prior.Claim
-	h.postEvent = func(e coordinator.Event) { l.post(ctx, e) }
-	h.mu.Unlock()
+	effects := l.begin(ctx, details, &prior.Claim)
 	go func() {
 		l.followWorkers(ctx)
 		ends <- struct{}{}
@@ -223,12 +223,32 @@
 	cancel()
 	<-ends
 	<-ends
+	h.Metrics.SetGauge("evacuatedWorkers", 0)
 	if !voluntary {
 		h.ineligibleUntil = h.now() + ineligiblePeriod
 	}
 	l.resign(context.WithoutCancel(ctx), l.state.Resignation())
 }
 
+// begin starts the coordinator with the host's copies of the records, and has all later changes of them
+// posted to it. prior is the claim that was in force before.
+func (l *leader) begin(ctx context.Context, details jobstate.Details, prior *jobstate.Claim) []coordinator.Effect {
+	h := l.Host
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	l.state.Evacuated = h.evacuations.names()
+	effects := l.state.Start(h.now(), h.Wall().UnixMilli(), &h.table, details, h.config.Load(), h.table.PredecessorsGone(prior, h.Name()))
+	h.priorClaim = *prior
+	h.postEvent = func(e coordinator.Event) {
+		if e.Evacuated != nil {
+			l.passEvacuated(e)
+			return
+		}
+		l.post(ctx, e)
+	}
+	return effects
+}
+
 // workerLease is how long a worker continues without a lease renewal, in milliseconds.
 // A takeover, from the last renewal by one coordinator to the first by the next, takes
 // about three seconds. The tasks of a lost worker start elsewhere only after the lease
@@ -245,11 +265,16 @@
 	// recorded holds the event that a batch was written. It does not wait behind other events,
 	// since the next renewal of the claim is sent after it.
 	recorded chan postedEvent
-	term     uint64
+	// evacuated holds the newest set of evacuations that was not handled yet. It is handled before
+	// all other events: OperatorAge must not count a change that still waits.
+	evacuated chan postedEvent
+	term      uint64
 	// jobs and details are the partitions to which the coordinator writes.
 	jobs, details partition
 	// slowEventAt is when a slow event was last logged; 0 for never.
 	slowEventAt int64
+	// evacuationGaugeAt is when the number of evacuated workers was last updated; 0 for never.
+	evacuationGaugeAt int64
 }
 
 // postedEvent is an event that waits for the coordinator since at.
@@ -293,6 +318,9 @@
 			return true
 		}
 		took += l.now() - began
+		// Read before the next event is chosen: what was read by then has been passed on and is handled
+		// first.
+		operatorsReadAt := l.configVerifiedAt.Load()
 		e, queued, ok := l.nextEvent(ctx, tick.C)
 		if !ok {
 			return true
@@ -301,16 +329,22 @@
 		if queued || len(l.events) == 0 {
 			waited = e.Now - e.at
 		}
-		e.Waited, e.Took = waited, took
+		e.Waited, e.Took, e.OperatorAge = waited, took, e.Now-operatorsReadAt
 		effects = l.state.Apply(&e.Event)
 		took = l.now() - e.Now
 		l.observeEvent(e.Waited, took)
+		l.updateEvacuationGauge()
 	}
 }
 
-// nextEvent returns the next event, that of a written batch before any other, and whether it has
-// waited for its turn. ok is false once ctx has ended.
+// nextEvent returns the next event, a change of evacuations and then that of a written batch before
+// any other, and whether it has waited for its turn. ok is false once ctx has ended.
 func (l *leader) nextEvent(ctx context.Context, tick <-chan time.Time) (e postedEvent, queued, ok bool) {
+	select {
+	case e = <-l.evacuated:
+		return e, false, true
+	default:
+	}
 	select {
 	case e = <-l.recorded:
 		return e, false, true
@@ -319,6 +353,8 @@
 	select {
 	case <-ctx.Done():
 		return e, false, false
+	case e = <-l.evacuated:
+		return e, false, true
 	case e = <-l.recorded:
 		return e, false, true
 	case <-tick:
--- a/internal/host/frontend/reload.go
+++ b/internal/host/frontend/reload.go
@@ -30,6 +30,7 @@
 	h.Metrics.SetGauge("leading", boolValue(h.IsLeader()))
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.Metrics.SetGauge("evacuations", float64(len(h.evacuations.active)))
 	h.Metrics.SetGauge("bookNext", float64(h.table.NextOffset))
 	h.Metrics.SetGauge("bookJobs", float64(len(h.table.Jobs)))
 	h.Metrics.SetGauge("bookTerm", float64(h.table.Claim.Term))
