--- a/internal/host/frontend/directory_test.go
+++ b/internal/host/frontend/directory_test.go
@@ -163,6 +163,58 @@
 	assert.Regexp(t, `"evacuations":\s*\{\s*"value":\s*2\b`, b.String())
 }
 
+// Guards against starts by a coordinator that cannot read the operators' records, and against starts that
+// pause on a healthy one since the age of its records reaches the bound.
+func TestNoStartsWithoutOperatorRecords(t *testing.T) {
+	s := newTestSystem(t)
+	s.configure(key)
+	var cut atomic.Bool
+	var starts atomic.Int64
+	born := time.Now().UnixMilli()
+	s.adjust = func(h *frontend.Host) {
+		if h.Name() != "leader" {
+			h.CoreShare = 0.1
+			return
+		}
+		h.EvacuationTimeout = 3500
+		h.Start = func(context.Context, placement.Target, placement.Start) placement.Reply {
+			starts.Add(1)
+			return placement.Reply{Verdict: placement.Executed, Clock: time.Now().UnixMilli() - born + 1000}
+		}
+		h.Poll = func(context.Context, placement.Target, placement.Poll) placement.PollReply {
+			time.Sleep(20 * time.Millisecond)
+			return placement.PollReply{Reply: placement.Reply{Verdict: placement.Executed, Clock: time.Now().UnixMilli() - born + 1000}, Lifetime: born}
+		}
+		read := h.Store.Read
+		h.Store.Read = func(ctx context.Context, topic string, from uint64, wait time.Duration) (keyedstore.Page, error) {
+			if topic == platform.TopicConfiguration && cut.Load() {
+				return keyedstore.Page{}, fault.New(fault.Unavailable, "cut", "wait")
+			}
+			return read(ctx, topic, from, wait)
+		}
+	}
+	leader, _, _ := s.startHost("leader")
+	require.Eventually(t, leader.IsLeader, 5*time.Second, time.Millisecond)
+	other, _, _ := s.startHost("other")
+	s.waitReady(other)
+	s.store.Put(platform.TopicWorkers, "i-1", entryOf(born, "service"))
+	submit := func(n int) {
+		t.Helper()
+		require.Equal(t, frontend.Recorded, serve(other, frontend.Submit, fmt.Sprintf("%s%016x", prefix, n), key, time.Second).Outcome)
+	}
+	submit(1)
+	require.Eventually(t, func() bool { return starts.Load() == 1 }, 3*time.Second, time.Millisecond)
+	cut.Store(true)
+	time.Sleep(2500 * time.Millisecond) // The bound is 2 s.
+	before := starts.Load()
+	submit(2)
+	time.Sleep(500 * time.Millisecond)
+	assert.True(t, leader.IsLeader())
+	assert.Equal(t, before, starts.Load())
+	cut.Store(false)
+	require.Eventually(t, func() bool { return starts.Load() > before }, 3*time.Second, time.Millisecond)
+}
+
 // Guards against an answer with a lifetime in the far future, after which the answers of
 // the worker's true lifetime were ignored and it was not polled any more.
 func TestLifetimeOfTheFutureIsNoAnswer(t *testing.T) {
