coordinator: scenario of an evacuation that cannot be read

Cause: no scenario had a coordinator with old records for longer than the bound while work arrives. Change: TestEvacuationThatCannotBeRead, with a takeover meanwhile.

--- a/internal/scheduling/coordinator/evacuation_test.go
+++ b/internal/scheduling/coordinator/evacuation_test.go
@@ -298,6 +298,21 @@
 	}
 }
 
+// Scenario: the operators' records cannot be read when a data centre is evacuated, and another coordinator
+// takes over meanwhile, with the same old records. Work that arrives must not start by them, and must
+// start once they can be read.
+func TestEvacuationThatCannotBeRead(t *testing.T) {
+	for seed := range uint64(4) {
+		p := evacuationScenario(seed)
+		p.Faults = []simulation.Fault{
+			{At: 3500, Duration: 9000, Kind: simulation.OperatorsCut},
+			{At: 4000, Kind: simulation.Evacuate, DataCentre: 1},
+			{At: 6000, Kind: simulation.Replace},
+		}
+		requireEnded(t, runScenario(t, p, 120_000), jobspec.Completed)
+	}
+}
+
 // Scenario: requests and withdrawals at random times, beside takeovers, suspensions, an unavailable
 // store, unreadable records of the operators and lost or late calls. No task may start more than
 // evacuate_ms after a request, and all jobs must end.
