--- a/internal/scheduling/placement/worker.go
+++ b/internal/scheduling/placement/worker.go
@@ -22,8 +22,8 @@
 	// time until it does, in milliseconds.
 	Draining  bool
 	Remaining int64
-	// ColdLeft is the time for which the worker still runs tasks more slowly because its data
-	// centre or process has just started, in milliseconds; 0 once it is warm.
+	// ColdLeft is how long the worker is still slow after its start, in milliseconds; 0 if it is
+	// warm.
 	ColdLeft int64
 }
 
