coordinator: estimate the pace of workers and place by it

Change: paces from the progress of the tasks of a step relative to each other, recorded for the next coordinator; urgent gangs on workers that meet their deadline, work without hurry on slow ones; remaining times by progress; a reservation whose time has passed is expected at any moment. A cold worker counts less than the rack of the data. TestUrgentGangsAvoidSlowWorkers and TestPacesSurviveATakeover were red before.

--- a/internal/scheduling/coordinator/attempt.go
+++ b/internal/scheduling/coordinator/attempt.go
@@ -46,6 +46,10 @@
 	// aborted is set once the unit cannot complete any more, as when a member has ended
 	// without success. failureCounted is set once the run has been counted as failed.
 	aborted, failureCounted bool
+	// spread is set if the unit runs on several racks although its step wants one.
+	spread bool
+	// remaining is the estimated remaining run time of a gang as of remainingAt; see remainingTime.
+	remaining, remainingAt int64
 }
 
 // attempt is one run of one task on a worker.
@@ -83,6 +87,7 @@
 	percent                  int
 	progressedAt, reportedAt int64
 	checkpoint               string
+	progressObserver
 	// stopReason is why the attempt was ordered to stop.
 	stopReason string
 	// blockedUnits holds the units that wait for this attempt to end.
--- a/internal/scheduling/coordinator/jobs.go
+++ b/internal/scheduling/coordinator/jobs.go
@@ -154,13 +154,3 @@
 		}
 	}
 }
-
-// remainingTime returns the estimated remaining run time of an attempt, in
-// milliseconds.
-func (s *State) remainingTime(a *attempt) int64 {
-	est := a.spec().Estimate
-	if a.startedAt == 0 {
-		return est
-	}
-	return est * int64(100-min(100, a.percent)) / 100
-}
--- a/internal/scheduling/coordinator/pacing.go
+++ b/internal/scheduling/coordinator/pacing.go
@@ -126,8 +126,8 @@
 	s.stops.add(s.now, max(link, processor)/stopShare)
 }
 
-// notePace records how long events wait and how long the last pass took.
-func (s *State) notePace(e *Event) {
+// noteEventTimes records how long events wait and how long the last pass took.
+func (s *State) noteEventTimes(e *Event) {
 	s.waited = e.Waited
 	if !s.ranPass {
 		return
--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -21,6 +21,12 @@
 	// laxity is the time that would be left until the job's deadline if the step
 	// started now and took its estimate; negative if the deadline would be missed.
 	laxity int64
+	// limited is set while only workers up to the pace class slowest are considered, and
+	// maxStopCost, if set, is the most work that may be lost by preemption meanwhile, in core
+	// seconds.
+	limited     bool
+	slowest     int
+	maxStopCost float64
 }
 
 // The ranks of requests. Jobs of priority 0 are urgent: those covered by their
@@ -37,6 +43,8 @@
 type candidatePool struct {
 	candidates []placement.Candidate
 	workers    []*worker
+	// fastest and slowest bound the pace classes of the candidates.
+	fastest, slowest int
 	// racks holds the indices of the candidates by rack.
 	racks map[string][]int
 	// reservations holds the reservations in force, and reservedBy the one of each candidate;
@@ -375,11 +383,14 @@
 		if w.Service != service || s.quarantined(w) != quarantined || s.unschedulable(w) {
 			continue
 		}
+		class := w.pace.Class()
+		pool.fastest, pool.slowest = min(pool.fastest, class), max(pool.slowest, class)
 		pool.indices[w.ID] = len(pool.workers)
 		pool.workers = append(pool.workers, w)
 		pool.candidates = append(pool.candidates, placement.Candidate{
 			ID: w.ID, Rack: w.rack, Labels: w.Labels, Free: w.Capacity.Sub(w.used), Capacity: w.Capacity, Avoided: w.failures > 0,
-			Cold: s.cold(w),
+			Cold:      s.cold(w),
+			PaceClass: class,
 		})
 	}
 	pool.racks = placement.ByRack(pool.candidates)
@@ -453,16 +464,18 @@
 // used up its attempts on other workers.
 const avoidDuration = 5000
 
-// demand returns a request for places whose search is counted in examined.
-func (s *State) demand(step *jobspec.Step, tasks int) *placement.Request {
-	return &placement.Request{Tasks: tasks, Step: step, Examined: &s.examined}
+// demand returns a demand for places for tasks of a request, whose search is counted in examined.
+func (s *State) demand(r *request, tasks int) *placement.Request {
+	return &placement.Request{
+		Tasks: tasks, Step: &r.spec.Steps[r.step], Order: s.paceOrder(r), Limited: r.limited, Slowest: r.slowest, Examined: &s.examined,
+	}
 }
 
 // place tries to place the tasks of a request, and preempts other work for urgent
 // ones. A gang is placed as a whole; the tasks of other steps as far as they fit.
 func (s *State) place(r *request, pool *candidatePool) {
 	step := &r.spec.Steps[r.step]
-	demand := s.demand(step, len(r.indices))
+	demand := s.demand(r, len(r.indices))
 	if step.Gang {
 		s.placeGang(r, pool, demand)
 		return
@@ -489,7 +502,7 @@
 		}
 	}
 	if rest := r.indices[len(places):]; len(rest) > 0 && r.rank <= rankUrgent {
-		s.preempt(r, pool, rest, s.demand(step, len(rest)), eligible)
+		s.preempt(r, pool, rest, s.demand(r, len(rest)), eligible)
 	}
 }
 
@@ -540,6 +553,9 @@
 	s.markCandidates(r, pool, false)
 	step := &r.spec.Steps[r.step]
 	inRack := step.SameRack && placement.FitsRack(pool.candidates, pool.racks, demand)
+	if s.placeInTime(r, pool, inRack) {
+		return
+	}
 	if inRack && s.placeInRack(r, pool, demand) || !inRack && s.placeAnywhere(r, pool, demand) {
 		return
 	}
@@ -616,6 +632,7 @@
 	step := &j.spec.Steps[r.step]
 	tasks := j.progress.Occurrences[r.occurrence][r.step]
 	blockers, stops := blockersOf(pool, places, victims)
+	spread := step.Gang && step.SameRack && pool.onSeveralRacks(places)
 	run := 0
 	if step.Gang {
 		for i := range tasks {
@@ -632,7 +649,7 @@
 			if step.Gang {
 				n = run + 1
 			}
-			u = &unit{job: j, occurrence: r.occurrence, step: r.step, run: n, batch: s.nextBatch(), placedAt: s.now}
+			u = &unit{job: j, occurrence: r.occurrence, step: r.step, run: n, batch: s.nextBatch(), placedAt: s.now, spread: spread}
 			units = append(units, u)
 		}
 		t.Phase, t.Run, t.Worker, t.Lifetime = jobspec.Placed, u.run, w.ID, w.currentLifetime
@@ -660,6 +677,16 @@
 	}
 }
 
+// onSeveralRacks reports whether places are on more than one rack.
+func (pool *candidatePool) onSeveralRacks(places []int) bool {
+	for _, p := range places {
+		if pool.workers[p].rack != pool.workers[places[0]].rack {
+			return true
+		}
+	}
+	return false
+}
+
 // blockersOf returns the attempts of the victims that run on the candidates at places, and how many
 // of the victims' attempts have yet to be stopped.
 func blockersOf(pool *candidatePool, places []int, victims []*unit) (blockers []*attempt, stops int) {
--- a/internal/scheduling/coordinator/preempt.go
+++ b/internal/scheduling/coordinator/preempt.go
@@ -42,6 +42,9 @@
 				break
 			}
 		}
+		if places != nil && r.stopsCostTooMuch(bestCost) {
+			break
+		}
 		if places != nil {
 			s.commitPlacement(r, pool, r.indices, places, set.take(stopped))
 			return true
@@ -164,34 +167,40 @@
 }
 
 // preempt places the tasks at indices on the eligible candidates by preempting other
-// work, or does nothing if that does not free enough capacity for all of them.
-func (s *State) preempt(r *request, pool *candidatePool, indices []int, demand *placement.Request, eligible []int) {
+// work, or does nothing if that does not free enough capacity for all of them. It reports whether
+// it has placed them.
+func (s *State) preempt(r *request, pool *candidatePool, indices []int, demand *placement.Request, eligible []int) bool {
 	if pool.refused(r, preemptSpread, demand.Tasks) {
-		return
+		return false
 	}
 	everywhere := len(eligible) == len(pool.candidates)
 	for set := range s.victimSets(r, pool) {
 		var places, stopped []int
+		var cost float64
 		if everywhere {
-			places, stopped = s.preemptOnSome(pool, demand, set)
+			places, stopped, cost = s.preemptOnSome(pool, demand, set)
 		}
 		if len(places) < demand.Tasks {
-			places, stopped, _ = pool.tryVictims(r, set, allWorkers, eligible, demand)
+			places, stopped, cost = pool.tryVictims(r, set, allWorkers, eligible, demand)
+		}
+		if len(places) == demand.Tasks && r.stopsCostTooMuch(cost) {
+			break
 		}
 		if len(places) == demand.Tasks {
 			s.commitPlacement(r, pool, indices, places, set.take(stopped))
-			return
+			return true
 		}
 	}
 	if everywhere {
 		pool.refuse(r, preemptSpread, demand.Tasks)
 	}
+	return false
 }
 
 // preemptOnSome looks for places on spreadWorkers workers that change with each search.
-func (s *State) preemptOnSome(pool *candidatePool, demand *placement.Request, set *victimSet) (places, stopped []int) {
+func (s *State) preemptOnSome(pool *candidatePool, demand *placement.Request, set *victimSet) (places, stopped []int, cost float64) {
 	if len(pool.candidates) < 2*spreadWorkers {
-		return nil, nil
+		return nil, nil, 0
 	}
 	var indices, victims []int
 	for _, rack := range s.racksByRoom(pool, demand) {
@@ -204,8 +213,7 @@
 	slices.Sort(indices)
 	slices.Sort(victims)
 	victims = set.available(slices.Compact(victims))
-	places, stopped, _ = placement.PlaceWithPreemption(pool.candidates, indices, demand, set.victims, victims)
-	return places, stopped
+	return placement.PlaceWithPreemption(pool.candidates, indices, demand, set.victims, victims)
 }
 
 // take returns the units of the victims at indices, which are about to be stopped, and takes
--- a/internal/scheduling/coordinator/quarantine.go
+++ b/internal/scheduling/coordinator/quarantine.go
@@ -61,7 +61,7 @@
 			rest = append(rest, i)
 		}
 	}
-	if len(rest) == 0 || !step.LongRunning && placement.CouldHold(pool.candidates, startSize(s.demand(step, len(rest)))) {
+	if len(rest) == 0 || !step.LongRunning && placement.CouldHold(pool.candidates, startSize(s.demand(r, len(rest)))) {
 		return
 	}
 	r.indices = rest
--- a/internal/scheduling/coordinator/recorder.go
+++ b/internal/scheduling/coordinator/recorder.go
@@ -93,6 +93,7 @@
 	}
 	// Leases are recorded with the placements that make them longer, and so before the starts.
 	s.recordLeases(&r)
+	s.recordPaces(&r)
 	if renew {
 		s.recordStartedJobs(&r)
 		s.renewals++
--- a/internal/scheduling/coordinator/refusal.go
+++ b/internal/scheduling/coordinator/refusal.go
@@ -18,6 +18,8 @@
 	tasks int
 	// rank is the rank of the request, which determines the possible victims.
 	rank int
+	// slowest is the highest pace class of the workers that were considered.
+	slowest int
 	// reserved is set if reserved workers were excluded: those of reservations that end
 	// before until, except the request's own, which is nil for none.
 	reserved bool
@@ -43,14 +45,14 @@
 
 // covers reports whether f implies that q is impossible too.
 func (f *refusal) covers(q *refusal) bool {
-	return f.method == q.method && f.tasks <= q.tasks && f.rank <= q.rank && (f.label == "" || f.label == q.label) &&
+	return f.method == q.method && f.tasks <= q.tasks && f.rank <= q.rank && f.slowest >= q.slowest && (f.label == "" || f.label == q.label) &&
 		(!f.reserved || q.reserved && f.until <= q.until && (q.own == nil || q.own == f.own)) && f.need.Within(q.need)
 }
 
 // refusal returns what r asks for when its tasks are placed by the given method.
 func (pool *candidatePool) refusal(r *request, method placementMethod, tasks int) refusal {
 	step := &r.spec.Steps[r.step]
-	f := refusal{method: method, need: step.Reserved(), label: step.Label, tasks: tasks}
+	f := refusal{method: method, need: step.Reserved(), label: step.Label, tasks: tasks, slowest: r.paceLimit()}
 	if pool.excludesReserved(r) {
 		f.reserved, f.until, f.own = true, pool.now+step.Estimate, pool.reservationOf(r)
 	}
--- a/internal/scheduling/coordinator/reservation.go
+++ b/internal/scheduling/coordinator/reservation.go
@@ -47,8 +47,9 @@
 		return
 	}
 	if own != nil {
-		// Work that was let in must not delay the gang further.
-		startAt = min(startAt, own.until)
+		// Work that was let in must not delay the gang further. If it was to have started by now, it
+		// is expected at any moment.
+		startAt = max(min(startAt, own.until), s.now+endReportDelay)
 		s.dropReservation(own, pool, r.spec.Service)
 	}
 	res := &reservation{gang: stepID(r.job, r.occurrence, r.step), workers: make(map[string]bool, len(reserved)), until: startAt, chosenAt: s.now}
--- a/internal/scheduling/coordinator/state.go
+++ b/internal/scheduling/coordinator/state.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 
+	"github.com/limpetrelay/limpetrelay/internal/scheduling/estimate"
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobspec"
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobstate"
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/placement"
@@ -130,6 +131,8 @@
 	RecordedCheckpoints jobstate.Checkpoints
 	// Evacuated holds the data centres under evacuation at the start of the term.
 	Evacuated []string
+	// RecordedPaces holds the paces of workers that are recorded beside the details.
+	RecordedPaces jobstate.Paces
 
 	// now and wall are the times of the newest event; see Event.
 	now, wall int64
@@ -157,6 +160,7 @@
 	advisor
 	pacing
 	evacuations
+	paceRecorder
 
 	// planDue is set when the waiting tasks should be considered again; plannedAt is
 	// the time of the last scheduling pass. fullPlanDue is set when those that are not urgent
@@ -219,6 +223,8 @@
 	parts map[string]uint64
 	// recordedView is the state that was last recorded for callers.
 	recordedView callerView
+	// work holds, by step, what is known of the work of its tasks.
+	work map[jobspec.TaskID]*estimate.Work
 	// room holds, for steps that wait for a better place, since when there has been room for
 	// twice what they would start; see placeStranded.
 	room map[jobspec.TaskID]roomSeen
@@ -381,7 +387,7 @@
 // has been given up.
 func (s *State) Apply(e *Event) []Effect {
 	s.now, s.wall = max(s.now, e.Now), e.Wall
-	s.notePace(e)
+	s.noteEventTimes(e)
 	s.operatorsReadAt = s.now - e.OperatorAge
 	switch {
 	case s.resigned:
--- a/internal/scheduling/coordinator/stranded.go
+++ b/internal/scheduling/coordinator/stranded.go
@@ -74,13 +74,15 @@
 	if demand.Step.Gang {
 		return demand
 	}
-	return &placement.Request{Tasks: 1, Step: demand.Step, Examined: demand.Examined}
+	one := *demand
+	one.Tasks = 1
+	return &one
 }
 
 // hasRoomTwice reports whether the free capacity of all workers that r may use, reserved ones
 // included, holds twice what starts together. It marks the candidates accordingly.
 func (s *State) hasRoomTwice(r *request, pool *candidatePool, demand *placement.Request) bool {
-	twice := s.demand(demand.Step, 2*startSize(demand).Tasks)
+	twice := s.demand(r, 2*startSize(demand).Tasks)
 	if pool.refusedAnywhere(r, twice.Tasks) {
 		return false
 	}
--- a/internal/scheduling/coordinator/worker.go
+++ b/internal/scheduling/coordinator/worker.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 
+	"github.com/limpetrelay/limpetrelay/internal/scheduling/estimate"
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobspec"
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/placement"
 )
@@ -13,6 +14,10 @@
 // worker is the coordinator's state of a worker.
 type worker struct {
 	placement.Listing
+	// pace is the worker's estimated pace.
+	pace estimate.Pace
+	// recordedPaceClass is the class of the pace that was last recorded.
+	recordedPaceClass int
 	// rack is the worker's rack, which is the last of its labels; empty while it is not
 	// known.
 	rack string
@@ -111,6 +116,7 @@
 	if w == nil {
 		w = &worker{attempts: make(map[jobspec.TaskID]*attempt)}
 		w.ID = id
+		s.inheritPace(w)
 		s.workers[id], s.byID = w, nil
 	}
 	return w
@@ -158,6 +164,9 @@
 	w.clock, w.clockAt, w.leaseEnd, w.silentSince, w.listSentAt = 0, 0, 0, 0, 0
 	w.lastEnd, w.ackedEnd, w.pendingAcks = 0, 0, nil
 	w.forgiveFailures()
+	if w.previousLifetime != 0 {
+		w.pace.Renew()
+	}
 	w.unschedulableUntil, w.quarantinedUntil = 0, 0
 	for _, a := range w.attempts {
 		if a.maybeStarted {
@@ -359,6 +368,7 @@
 	if a.startedAt == 0 {
 		a.startedAt, a.progressedAt, a.percent = s.now, arrivedAt, r.Percent
 	}
+	s.observeProgress(a, r.Percent, arrivedAt)
 	a.reportedAt = arrivedAt
 	if r.Percent != a.percent {
 		a.percent, a.progressedAt = r.Percent, arrivedAt
--- a/internal/scheduling/jobstate/detail.go
+++ b/internal/scheduling/jobstate/detail.go
@@ -90,7 +90,7 @@
 // are not known, so that they must neither start again nor count as done.
 func (d Details) Apply(r Record) error {
 	switch {
-	case r.Key == fenceKey || len(r.Value) == 0 || r.Key != "" && (r.Key[0] == kindLease || r.Key[0] == kindCheckpoints):
+	case r.Key == fenceKey || len(r.Value) == 0 || r.Key != "" && (r.Key[0] == kindLease || r.Key[0] == kindCheckpoints || r.Key[0] == kindPace):
 		return nil
 	case r.Key == "" || r.Key[0] != kindDetail:
 		return errors.Newf("a record with the key %q is not a detail record", r.Key)
--- a/internal/scheduling/placement/candidate.go
+++ b/internal/scheduling/placement/candidate.go
@@ -28,6 +28,33 @@
 	// Cold candidates are still slow after their start. They are chosen after all others that are
 	// not avoided.
 	Cold bool
+	// PaceClass is the class of the worker's pace: 0 for a typical one, lower for a faster one.
+	PaceClass int
+}
+
+// PaceOrder says in which order workers are chosen by their pace.
+type PaceOrder int8
+
+// The orders of workers by their pace.
+const (
+	// AnyPace ignores the pace.
+	AnyPace PaceOrder = iota
+	// FastFirst is for urgent work.
+	FastFirst
+	// SlowFirst is for work that is not in a hurry: it leaves the fast workers to urgent work.
+	SlowFirst
+)
+
+// rank returns what candidates of a class are ordered by.
+func (o PaceOrder) rank(class int) int {
+	switch o {
+	case FastFirst:
+		return class
+	case SlowFirst:
+		return -class
+	default:
+		return 0
+	}
 }
 
 // Request is a number of identical tasks to place. The functions of this package return
@@ -35,6 +62,10 @@
 type Request struct {
 	Tasks int
 	Step  *jobspec.Step
+	Order PaceOrder
+	// Limited is set if candidates of a higher pace class than Slowest receive no tasks.
+	Limited bool
+	Slowest int
 	// Examined, if set, counts the comparisons of the request with candidates and victims.
 	Examined *int
 }
@@ -57,7 +88,7 @@
 
 func (r *Request) fit(c *Candidate, free jobspec.Resources) int {
 	r.examine(1)
-	if c.Excluded || r.Step.Label != "" && !slices.Contains(c.Labels, r.Step.Label) {
+	if c.Excluded || r.Limited && c.PaceClass > r.Slowest || r.Step.Label != "" && !slices.Contains(c.Labels, r.Step.Label) {
 		return 0
 	}
 	limit := r.Tasks
@@ -81,16 +112,18 @@
 
 // PlaceInRack returns places for all tasks of r on one rack, or nil when no rack has
 // enough free capacity. It prefers the rack of the data, then racks that do not need
-// avoided candidates, then those that do not need cold ones, then the rack on which the fewest
-// tasks fit.
+// avoided candidates, then those that do not need cold ones, then with FastFirst the one whose slowest
+// chosen candidate is fastest, then the rack on which the fewest tasks fit.
 func PlaceInRack(candidates []Candidate, racks map[string][]int, r *Request) []int {
 	var best []int
-	bestRank := [4]int{}
+	bestRank := [5]int{}
 	for rack, indices := range racks {
 		fits, avoided, cold := 0, 0, 0
+		var byClass classFits
 		for _, i := range indices {
 			n := r.Fit(&candidates[i])
 			fits += n
+			byClass.add(candidates[i].PaceClass, n)
 			switch {
 			case candidates[i].Avoided:
 				avoided += n
@@ -101,7 +134,7 @@
 		if fits < r.Tasks {
 			continue
 		}
-		rank := [4]int{0, 0, 0, fits}
+		rank := [5]int{4: fits}
 		if r.Step.DataRack != "" && rack != r.Step.DataRack {
 			rank[0] = 1
 		}
@@ -111,6 +144,9 @@
 		if cold > 0 && fits-avoided-cold < r.Tasks {
 			rank[2] = 1
 		}
+		if r.Order == FastFirst {
+			rank[3] = byClass.slowest(r.Tasks)
+		}
 		if best == nil || slices.Compare(rank[:], bestRank[:]) < 0 || rank == bestRank && indices[0] < best[0] {
 			best, bestRank = indices, rank
 		}
@@ -121,6 +157,26 @@
 	return Fill(candidates, best, r)
 }
 
+// classFits counts the tasks that fit on candidates by pace class.
+type classFits [2*maxPaceClass + 1]int
+
+// maxPaceClass bounds the pace classes that are told apart.
+const maxPaceClass = 8
+
+func (f *classFits) add(class, n int) {
+	f[maxPaceClass+max(-maxPaceClass, min(maxPaceClass, class))] += n
+}
+
+// slowest returns the class of the slowest candidate if n tasks are placed on the fastest.
+func (f *classFits) slowest(n int) int {
+	for k := range f {
+		if n -= f[k]; n <= 0 {
+			return k - maxPaceClass
+		}
+	}
+	return maxPaceClass
+}
+
 // FitsRack reports whether all tasks of r would fit on one of the racks if it were empty.
 func FitsRack(candidates []Candidate, racks map[string][]int, r *Request) bool {
 	for _, indices := range racks {
@@ -180,12 +236,13 @@
 }
 
 // Fill returns places for as many tasks of r as fit on the candidates at the given
-// indices. It prefers candidates that are neither cold nor avoided, then those that are not
-// avoided, then the rack of the data, then those with the least free capacity, so that others stay empty.
+// indices. It prefers candidates that are not avoided, then the rack of the data, then those that
+// are not cold, then those that come first by the request's pace order, then those with the least
+// free capacity, so that others stay empty.
 func Fill(candidates []Candidate, indices []int, r *Request) []int {
 	type option struct {
 		index, fit int
-		rank       [3]int
+		rank       [5]int
 	}
 	var options []option
 	for _, i := range indices {
@@ -195,16 +252,17 @@
 			continue
 		}
 		o := option{index: i, fit: n}
-		switch {
-		case c.Avoided:
-			o.rank[0] = 2
-		case c.Cold:
+		if c.Avoided {
 			o.rank[0] = 1
 		}
 		if r.Step.DataRack != "" && c.Rack != r.Step.DataRack {
 			o.rank[1] = 1
 		}
-		o.rank[2] = int(c.Free.Weight())
+		if c.Cold {
+			o.rank[2] = 1
+		}
+		o.rank[3] = r.Order.rank(c.PaceClass)
+		o.rank[4] = int(c.Free.Weight())
 		options = append(options, o)
 	}
 	slices.SortStableFunc(options, func(a, b option) int {
--- a/internal/scheduling/simulation/cluster.go
+++ b/internal/scheduling/simulation/cluster.go
@@ -44,6 +44,7 @@
 	// details and leases are the partition that only coordinators read.
 	details jobstate.Details
 	leases  jobstate.Leases
+	paces   jobstate.Paces
 	// leader is the newest coordinator, the only one whose records the store accepts.
 	leader    *coordinatorHost
 	storeDown bool
@@ -135,7 +136,7 @@
 	s.init()
 	c := &Cluster{
 		Scenario: s, LogLines: make(map[string]int), rand: rand.New(rand.NewPCG(s.Seed, 1)),
-		jobs: make(map[string]*simulatedJob), gangs: make(map[gangKey]*gang), details: make(jobstate.Details), leases: make(jobstate.Leases), now: 1,
+		jobs: make(map[string]*simulatedJob), gangs: make(map[gangKey]*gang), details: make(jobstate.Details), leases: make(jobstate.Leases), paces: make(jobstate.Paces), now: 1,
 	}
 	for i := range s.Workers {
 		c.addWorker(i)
@@ -219,6 +220,9 @@
 
 // writeDetail writes a record to the partition of the details.
 func (c *Cluster) writeDetail(r jobstate.Record) {
+	if err := c.paces.Apply(r); err != nil {
+		c.violationf("a record of paces cannot be read: %v", err)
+	}
 	if err := c.leases.Apply(r); err != nil {
 		c.violationf("a recorded lease cannot be applied: %v", err)
 	}
--- a/internal/scheduling/simulation/coordinator.go
+++ b/internal/scheduling/simulation/coordinator.go
@@ -115,7 +115,7 @@
 	c.latestTerm = host.term
 	c.write(r)
 	c.leader = host
-	host.state = coordinator.State{Settings: c.Coordinator, Term: host.term, PriorLeases: leases, PriorLongLeases: long, RecordedLeases: maps.Clone(c.leases)}
+	host.state = coordinator.State{Settings: c.Coordinator, Term: host.term, PriorLeases: leases, PriorLongLeases: long, RecordedLeases: maps.Clone(c.leases), RecordedPaces: maps.Clone(c.paces)}
 	host.state.Evacuated = host.startOperators()
 	host.execute(host.state.Start(c.now, c.now, &c.table, c.details, c.Configuration, predecessorsGone))
 	for _, w := range c.workers {
