coordinator: pace decides on work that is not urgent only where workers differ much

Cause: at paces of 1 and 1.3 placing by pace breaks up the free blocks, which costs more than it gains. Change: work that is not urgent follows the pace from three classes of difference on; the rank of a rack is a function.

--- a/internal/scheduling/coordinator/pace.go
+++ b/internal/scheduling/coordinator/pace.go
@@ -233,6 +233,10 @@
 	slowMargin = 1.5
 	// slowFactor is the pace of a slow worker that slowMargin assumes.
 	slowFactor = 1.6
+	// minPaceSpread is the number of classes between the fastest and the slowest worker from which
+	// on work that is not urgent is placed by pace. With less to gain, packing it leaves larger
+	// free blocks: at paces of 1 and 1.3 callers were served worse, at 0.6 to 1.6 better.
+	minPaceSpread = 3
 )
 
 // paceOrder returns the order in which workers are chosen for a request by their pace. Urgent work
@@ -244,7 +248,7 @@
 	switch {
 	case r.rank <= rankUrgent:
 		return placement.FastFirst
-	case estimated == 0:
+	case estimated == 0 || r.paceSpread < minPaceSpread:
 		return placement.AnyPace
 	case left >= 0 && left < estimated*slowMargin*slowFactor:
 		return placement.FastFirst
--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -21,6 +21,8 @@
 	// laxity is the time that would be left until the job's deadline if the step
 	// started now and took its estimate; negative if the deadline would be missed.
 	laxity int64
+	// paceSpread is the number of classes between the fastest and the slowest worker of the service.
+	paceSpread int
 	// limited is set while only workers up to the pace class slowest are considered, and
 	// maxStopCost, if set, is the most work that may be lost by preemption meanwhile, in core
 	// seconds.
@@ -108,6 +110,7 @@
 			pool = s.poolOf(r.spec.Service)
 			pools[r.spec.Service] = pool
 		}
+		r.paceSpread = pool.slowest - pool.fastest
 		if len(pool.candidates) > 0 && !s.mustAwaitAdvice(r, pool) && s.mayQueueStarts(r) > 0 {
 			s.place(r, pool)
 		}
--- a/internal/scheduling/placement/candidate.go
+++ b/internal/scheduling/placement/candidate.go
@@ -116,37 +116,12 @@
 // chosen candidate is fastest, then the rack on which the fewest tasks fit.
 func PlaceInRack(candidates []Candidate, racks map[string][]int, r *Request) []int {
 	var best []int
-	bestRank := [5]int{}
+	var bestRank rackRank
 	for rack, indices := range racks {
-		fits, avoided, cold := 0, 0, 0
-		var byClass classFits
-		for _, i := range indices {
-			n := r.Fit(&candidates[i])
-			fits += n
-			byClass.add(candidates[i].PaceClass, n)
-			switch {
-			case candidates[i].Avoided:
-				avoided += n
-			case candidates[i].Cold:
-				cold += n
-			}
-		}
-		if fits < r.Tasks {
+		rank, ok := r.rankRack(candidates, rack, indices)
+		if !ok {
 			continue
 		}
-		rank := [5]int{4: fits}
-		if r.Step.DataRack != "" && rack != r.Step.DataRack {
-			rank[0] = 1
-		}
-		if fits-avoided < r.Tasks {
-			rank[1] = 1
-		}
-		if cold > 0 && fits-avoided-cold < r.Tasks {
-			rank[2] = 1
-		}
-		if r.Order == FastFirst {
-			rank[3] = byClass.slowest(r.Tasks)
-		}
 		if best == nil || slices.Compare(rank[:], bestRank[:]) < 0 || rank == bestRank && indices[0] < best[0] {
 			best, bestRank = indices, rank
 		}
@@ -157,6 +132,41 @@
 	return Fill(candidates, best, r)
 }
 
+// rackRank orders racks for PlaceInRack, the lowest first.
+type rackRank [5]int
+
+// rankRack returns the rank of a rack with the candidates at indices, and whether all tasks of r fit
+// there.
+func (r *Request) rankRack(candidates []Candidate, rack string, indices []int) (rackRank, bool) {
+	fits, avoided, cold := 0, 0, 0
+	var byClass classFits
+	for _, i := range indices {
+		n := r.Fit(&candidates[i])
+		fits += n
+		byClass.add(candidates[i].PaceClass, n)
+		switch {
+		case candidates[i].Avoided:
+			avoided += n
+		case candidates[i].Cold:
+			cold += n
+		}
+	}
+	rank := rackRank{4: fits}
+	if r.Step.DataRack != "" && rack != r.Step.DataRack {
+		rank[0] = 1
+	}
+	if fits-avoided < r.Tasks {
+		rank[1] = 1
+	}
+	if cold > 0 && fits-avoided-cold < r.Tasks {
+		rank[2] = 1
+	}
+	if r.Order == FastFirst {
+		rank[3] = byClass.slowest(r.Tasks)
+	}
+	return rank, fits >= r.Tasks
+}
+
 // classFits counts the tasks that fit on candidates by pace class.
 type classFits [2*maxPaceClass + 1]int
 
