coordinator: precedence of requests by rank, time left, fair share and wait

Cause: requests were ordered by rank and deadline alone: an organisation that submits more than the workers hold kept the others waiting for 76 s in a scenario of two, and work of the lowest priority waited until nothing else did (940 s). Change: a module without I/O orders requests: within a rank what can be in time first, then organisations within an equal share of their dominant resource beside their guarantee, then deadlines; after 120 s a request goes before the others that are not urgent. Stopping a run that is 90 % through counts three times. Measured: TestLargeOrganisationStarvesNobody and TestLowPriorityWorkIsNotForgotten were red before.

--- a/internal/scheduling/coordinator/attempt.go
+++ b/internal/scheduling/coordinator/attempt.go
@@ -63,8 +63,10 @@
 	phase    phase
 	// orphan is set for a run that the worker listed and no placement accounts for.
 	orphan bool
-	// need is the capacity allocated to the attempt on its worker.
-	need jobspec.Resources
+	// need is the capacity allocated to the attempt on its worker, and usedService the service for
+	// which it counts.
+	need        jobspec.Resources
+	usedService string
 	// startOrders counts the start orders sent. maybeStarted is set once one was not
 	// answered, so that it may have been executed.
 	startOrders  int
@@ -124,6 +126,7 @@
 	u.job.addAttempt(a)
 	w.attempts[a.taskID()], w.sorted = a, nil
 	w.used = w.used.Add(a.need)
+	s.addUse(a)
 	return a
 }
 
@@ -221,6 +224,7 @@
 	}
 	w.removed[a.taskID()] = removedRun{run: a.run, at: s.now}
 	w.used = w.used.Sub(a.need)
+	s.removeUse(a)
 	delete(a.job.attempts, a)
 	u := a.unit
 	if i := slices.Index(u.attempts, a); i >= 0 {
--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -7,6 +7,7 @@
 
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobspec"
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/placement"
+	"github.com/limpetrelay/limpetrelay/internal/scheduling/precedence"
 )
 
 // request is a request to place the waiting tasks of one step.
@@ -21,6 +22,8 @@
 	// laxity is the time that would be left until the job's deadline if the step
 	// started now and took its estimate; negative if the deadline would be missed.
 	laxity int64
+	// precedence orders the requests of a pass.
+	precedence precedence.Waiting
 	// paceSpread is the number of classes between the fastest and the slowest worker of the service.
 	paceSpread int
 	// limited is set while only workers up to the pace class slowest are considered, and
@@ -166,8 +169,8 @@
 }
 
 // requests returns a request for each step that has waiting tasks, whose preceding steps
-// are done, and for which a placement attempt is worthwhile, or only those of urgent jobs. They are ordered by rank;
-// within a rank, those that can still meet their deadline come first, then by deadline.
+// are done, and for which a placement attempt is worthwhile, or only those of urgent jobs. They are ordered by
+// precedence.
 func (s *State) requests(urgentOnly bool) []request {
 	s.applyGuarantees()
 	var rs []request
@@ -187,9 +190,9 @@
 			}
 		}
 	}
+	s.setPrecedence(rs)
 	slices.SortFunc(rs, func(a, b request) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(lateness(a.laxity), lateness(b.laxity)),
-			cmp.Compare(a.deadline, b.deadline), cmp.Compare(a.id, b.id), cmp.Compare(a.occurrence, b.occurrence),
+		return cmp.Or(precedence.Compare(&a.precedence, &b.precedence), cmp.Compare(a.id, b.id), cmp.Compare(a.occurrence, b.occurrence),
 			cmp.Compare(a.step, b.step))
 	})
 	return rs
--- a/internal/scheduling/coordinator/preempt.go
+++ b/internal/scheduling/coordinator/preempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobspec"
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/placement"
+	"github.com/limpetrelay/limpetrelay/internal/scheduling/precedence"
 )
 
 const (
@@ -294,7 +295,8 @@
 			u := &us[n]
 			u.victim.Add(i, a.need)
 			if !stopping {
-				u.victim.Cost += s.stopCost(a)
+				stop := precedence.Stop{Lost: s.stopCost(a), Percent: a.percent}
+				u.victim.Cost += stop.Cost()
 			}
 			if !slices.Contains(u.racks, w.rack) {
 				u.racks = append(u.racks, w.rack)
@@ -398,7 +400,7 @@
 
 // lostWork returns the work that would be lost by stopping a, in core seconds. For a
 // step with checkpoints it is at most the work of the time that stopping and restoring
-// take.
+// take, since a stop saves a checkpoint.
 func (s *State) lostWork(a *attempt) float64 {
 	if a.startedAt == 0 {
 		return 0
--- a/internal/scheduling/coordinator/state.go
+++ b/internal/scheduling/coordinator/state.go
@@ -151,6 +151,8 @@
 
 	jobs    map[string]*job
 	workers map[string]*worker
+	// uses holds what the attempts of each organisation occupy, by service.
+	uses map[string]map[string]jobspec.Resources
 
 	// unclaimedDetails holds the details of jobs that were not in the job table at Start,
 	// until unclaimedRetention after it.
