crowd: tests of clients that exceed the limits

Clients that exceed the limits have made a process run out of memory. The tests start limpetrelay front with limits.memory_mb=128, send requests from 300 to 1,000 clients and check memory, descriptors, one ordinary request and the readiness check afterwards.

--- /dev/null
+++ b/crowd/crowd_test.go
@@ -0,0 +1,209 @@
+package crowd
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	// descriptors is limits.max_fds where the crowd is to exceed the memory, and fewDescriptors
+	// where it is to exceed the descriptors.
+	descriptors, fewDescriptors = 2000, 700
+	// patience bounds the time of one client, for the case that the host hangs.
+	patience = 60 * time.Second
+	// settle is the time for which the crowd stays after it has sent its requests.
+	settle = time.Second
+	// jobID is the ID of the one job that the complete requests of a crowd submit.
+	jobID = "00000000000000aa"
+	// endless is the size of headers without an end, in bytes.
+	endless = 4 << 20
+)
+
+// run sends a request from each of n clients at once to address and keeps the connections
+// open until the host has been checked. send returns once the host closes the connection.
+func run(h *host, n int, address string, send func(c net.Conn, i int)) {
+	h.addJob(jobID)
+	var wg sync.WaitGroup
+	conns := make(chan net.Conn, n)
+	for i := range n {
+		wg.Go(func() {
+			c, err := net.DialTimeout("tcp", address, patience)
+			if err != nil {
+				return
+			}
+			conns <- c
+			_ = c.SetDeadline(time.Now().Add(patience))
+			send(c, i)
+		})
+	}
+	wg.Wait()
+	// The host has yet to accept and read what the kernel holds.
+	time.Sleep(settle)
+	h.check()
+	close(conns)
+	for c := range conns {
+		_ = c.Close()
+	}
+}
+
+// write writes text until the end or the first error.
+func write(c net.Conn, text string) bool {
+	_, err := io.WriteString(c, text)
+	return err == nil
+}
+
+// repeat writes text until n bytes are written or the host closes the connection.
+func repeat(c net.Conn, text string, n int) bool {
+	block := strings.Repeat(text, max(1, 16<<10/len(text)))
+	for ; n > 0; n -= len(block) {
+		if !write(c, block) {
+			return false
+		}
+	}
+	return true
+}
+
+const requestLine = "POST /batch/" + jobID + " HTTP/1.1\r\nHost: crowd.example\r\nCredential: key-a\r\n"
+
+// headerLine has 100 bytes.
+var headerLine = "X-Pad: " + strings.Repeat("p", 91) + "\r\n"
+
+// largestBody returns a job of bodyBytes bytes.
+func largestBody() string {
+	return jobBody[:len(jobBody)-1] + `,"pad":"` + strings.Repeat("p", bodyBytes-len(jobBody)-9) + `"}`
+}
+
+// sendBody sends a request whose body has the given parts. Only every eighth client sends the
+// last part and reads the response.
+func sendBody(c net.Conn, i int, header string, parts ...string) {
+	if !write(c, requestLine+header+"\r\n") {
+		return
+	}
+	for _, p := range parts[:len(parts)-1] {
+		if !write(c, p) {
+			return
+		}
+	}
+	if i%8 == 0 && write(c, parts[len(parts)-1]) {
+		readResponse(c)
+	}
+}
+
+func readResponse(c net.Conn) {
+	if res, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil {
+		_, _ = io.Copy(io.Discard, res.Body)
+		_ = res.Body.Close()
+	}
+}
+
+// Guards against headers over the limit that are kept in memory up to net/http's own limit.
+func TestHeadersOverTheLimit(t *testing.T) {
+	h := startHost(t, descriptors)
+	run(h, 300, h.callers, func(c net.Conn, _ int) { _ = write(c, requestLine) && repeat(c, headerLine, 900<<10) })
+}
+
+// Guards against headers without an end.
+func TestHeadersWithoutEnd(t *testing.T) {
+	h := startHost(t, descriptors)
+	run(h, 300, h.callers, func(c net.Conn, _ int) { _ = write(c, requestLine) && repeat(c, headerLine, endless) })
+}
+
+// Guards against a single header line without an end, of which net/http keeps several copies.
+func TestHeaderLineWithoutEnd(t *testing.T) {
+	h := startHost(t, descriptors)
+	run(h, 300, h.callers, func(c net.Conn, _ int) { _ = write(c, requestLine+"X-Pad: ") && repeat(c, "p", endless) })
+}
+
+// Guards against empty lines without an end before a request, also before the second one.
+func TestEmptyLinesWithoutEnd(t *testing.T) {
+	h := startHost(t, descriptors)
+	run(h, 300, h.callers, func(c net.Conn, i int) {
+		if i%2 == 0 {
+			sendBody(c, 0, fmt.Sprintf("Content-Length: %d\r\n", len(jobBody)), "", jobBody)
+		}
+		repeat(c, "\r\n", endless)
+	})
+}
+
+// Guards against many whole bodies of legal size at once.
+func TestWholeBodies(t *testing.T) {
+	h := startHost(t, descriptors)
+	text := largestBody()
+	run(h, 1000, h.callers, func(c net.Conn, _ int) {
+		sendBody(c, 0, fmt.Sprintf("Content-Length: %d\r\n", len(text)), text[:1], text[1:])
+	})
+}
+
+// Guards against bodies of legal size in pieces, most of which stop short of their end.
+func TestBodiesInPieces(t *testing.T) {
+	h := startHost(t, descriptors)
+	text := largestBody()
+	const piece = 16 << 10
+	var parts []string
+	for i := 0; i < len(text); i += piece {
+		parts = append(parts, text[i:min(i+piece, len(text)-1)])
+	}
+	parts = append(parts, text[len(text)-1:])
+	run(h, 1000, h.callers, func(c net.Conn, i int) { sendBody(c, i, fmt.Sprintf("Content-Length: %d\r\n", len(text)), parts...) })
+}
+
+// Guards against chunked bodies in large chunks, most of which stop short of their end.
+func TestLargeChunks(t *testing.T) {
+	h := startHost(t, descriptors)
+	text := largestBody()
+	chunk := func(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+	half := len(text) / 2
+	run(h, 1000, h.callers, func(c net.Conn, i int) {
+		sendBody(c, i, "Transfer-Encoding: chunked\r\n", chunk(text[:half]), chunk(text[half:]), "0\r\n\r\n")
+	})
+}
+
+// Guards against chunked bodies in chunks of one byte, most of which stop short of their end.
+func TestOneByteChunks(t *testing.T) {
+	h := startHost(t, descriptors)
+	var chunks strings.Builder
+	for _, b := range []byte(largestBody()) {
+		fmt.Fprintf(&chunks, "1\r\n%c\r\n", b)
+	}
+	run(h, 600, h.callers, func(c net.Conn, i int) {
+		sendBody(c, i, "Transfer-Encoding: chunked\r\n", chunks.String(), "0\r\n\r\n")
+	})
+}
+
+// Guards against bodies that take many times their size when they are decoded.
+func TestBodiesThatGrow(t *testing.T) {
+	h := startHost(t, descriptors)
+	text := `{"steps":[{}` + strings.Repeat(",{}", (bodyBytes-14)/3) + "]}"
+	run(h, 300, h.callers, func(c net.Conn, _ int) {
+		sendBody(c, 0, fmt.Sprintf("Content-Length: %d\r\n", len(text)), text[:1], text[1:])
+	})
+}
+
+// Guards against connections without a request that take all descriptors.
+func TestIdleConnections(t *testing.T) {
+	h := startHost(t, fewDescriptors)
+	run(h, 900, h.callers, func(net.Conn, int) {})
+}
+
+// Guards against headers without an end, and connections without a request, at the addresses
+// of the readiness check and of the metrics.
+func TestOtherAddresses(t *testing.T) {
+	for _, name := range []string{"ready", "metrics"} {
+		address := func(h *host) string { return map[string]string{"ready": h.ready, "metrics": h.metrics}[name] }
+		t.Run(name+"Headers", func(t *testing.T) {
+			h := startHost(t, descriptors)
+			run(h, 300, address(h), func(c net.Conn, _ int) { _ = write(c, requestLine) && repeat(c, headerLine, endless) })
+		})
+		t.Run(name+"Idle", func(t *testing.T) {
+			h := startHost(t, fewDescriptors)
+			run(h, 900, address(h), func(net.Conn, int) {})
+		})
+	}
+}
