httpserver: budget of memory and descriptors for clients

Cause: a server kept whatever clients sent and as many connections as they opened. Change: a Budget, whose pools bound connections and bytes, charges what arrives, closes the connections with the least progress when a bound is met, and applies limits and timeouts. A server without a pool is as before. A refused request cannot take effect: once its connection is closed, the body has no end for the handler, even if the rest was buffered.

--- a/internal/host/httpserver/listener.go
+++ b/internal/host/httpserver/listener.go
@@ -24,6 +24,8 @@
 // are already established and then no others.
 type listener struct {
 	net.Listener
+	// pool bounds the connections; nil for no bounds.
+	pool *Pool
 	// closed is closed by Close.
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -36,8 +38,8 @@
 	conns map[*conn]struct{}
 }
 
-func newListener(l net.Listener) *listener {
-	return &listener{Listener: l, closed: make(chan struct{}), conns: map[*conn]struct{}{}}
+func newListener(l net.Listener, pool *Pool) *listener {
+	return &listener{Listener: l, pool: pool, closed: make(chan struct{}), conns: map[*conn]struct{}{}}
 }
 
 // refuse makes Accept return the connections that are already established and then close
@@ -87,7 +89,13 @@
 		}
 		nc, err := l.Listener.Accept()
 		if err == nil {
-			c := &conn{Conn: nc, listener: l, accepted: time.Now()}
+			c := &conn{Conn: nc, listener: l, pool: l.pool, accepted: time.Now()}
+			if !c.pool.admit(c) {
+				reject(nc, Refused)
+				// The client can do nothing about the error.
+				_ = nc.Close()
+				continue
+			}
 			l.mu.Lock()
 			l.conns[c] = struct{}{}
 			l.mu.Unlock()
@@ -158,6 +166,9 @@
 	net.Conn
 	listener *listener
 	accepted time.Time
+	pool     *Pool
+	// usage belongs to pool.
+	usage usage
 
 	mu sync.Mutex
 	// busy is set from the first byte of a request to the end of its response.
@@ -173,14 +184,29 @@
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.setBusy(true)
+		if err := c.pool.read(c, b[:n]); err != nil {
+			return 0, err
+		}
 	}
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	if c.pool != nil {
+		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Write(b)
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.listener.remove(c)
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	c.pool.remove(c)
+	return err
 }
 
 // setBusy records whether a request is under way.
--- /dev/null
+++ b/internal/host/httpserver/request.go
@@ -0,0 +1,76 @@
+package httpserver
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/limpetrelay/limpetrelay/fault"
+)
+
+// connKey is the key of the connection in a request's context.
+type connKey struct{}
+
+func withConn(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, nc)
+}
+
+// connOf returns the connection of a request, or nil if no server of this package serves it.
+func connOf(ctx context.Context) *conn {
+	c, _ := ctx.Value(connKey{}).(*conn)
+	return c
+}
+
+// Reserve charges n bytes, in addition to what is already charged, to the request with the
+// context ctx until its handler returns. A negative n frees them earlier. It returns a
+// fault.Overloaded error if the budget is exhausted; the request must then have no effect.
+func Reserve(ctx context.Context, n int64) error {
+	if c := connOf(ctx); c != nil && !c.pool.reserve(c, n) {
+		return fault.New(fault.Overloaded, "the host has no memory left for the request", "retry it later")
+	}
+	return nil
+}
+
+// account returns a handler that tells the pool how far each request has come. Until the
+// handler has read the end of a POST's body, the pool may close the connection with a refusal.
+// Reading the body then fails, and the request must have no effect.
+func account(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := connOf(r.Context())
+		if c == nil {
+			next.ServeHTTP(w, r)
+			return
+		}
+		first := handling
+		if r.Method == http.MethodPost && r.ContentLength != 0 {
+			first = body
+			r.Body = &requestBody{r.Body, c}
+		}
+		if !c.pool.setPhase(c, first) {
+			return
+		}
+		defer c.pool.setPhase(c, answered)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// requestBody is the body of a request on conn.
+type requestBody struct {
+	io.ReadCloser
+	conn *conn
+}
+
+// Read implements io.Reader.
+func (b *requestBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && !b.conn.pool.setPhase(b.conn, handling) {
+		// The end was still in a buffer when the connection was closed with a refusal.
+		err = net.ErrClosed
+	}
+	return n, err
+}
+
+// statusLine returns a status code with its text.
+func statusLine(code int) string { return fmt.Sprint(code, " ", http.StatusText(code)) }
--- a/internal/host/httpserver/server.go
+++ b/internal/host/httpserver/server.go
@@ -31,6 +31,9 @@
 
 // Server is an HTTP server without a request timeout.
 type Server struct {
+	// Pool bounds what the clients take; nil for no bounds. It must be set before Start.
+	Pool *Pool
+
 	address  string
 	given    net.Listener
 	server   *khttp.Server
@@ -44,12 +47,14 @@
 // New returns a server of handler that listens on l or, if l is nil, on the TCP address.
 func New(address string, l net.Listener, handler http.Handler) *Server {
 	s := &Server{address: address, given: l, server: khttp.NewServer(khttp.Address(address), khttp.Timeout(0))}
-	s.server.HandlePrefix("/", CloseWhen(s.stopping.Load, handler))
+	s.server.HandlePrefix("/", account(CloseWhen(s.stopping.Load, handler)))
 	s.server.ConnState = func(nc net.Conn, state http.ConnState) {
 		if c, ok := nc.(*conn); ok && (state == http.StateActive || state == http.StateIdle) {
 			c.setBusy(state == http.StateActive)
+			c.pool.setPhase(c, map[http.ConnState]phase{http.StateActive: body, http.StateIdle: idle}[state])
 		}
 	}
+	s.server.ConnContext = withConn
 	return s
 }
 
@@ -62,7 +67,7 @@
 			return err
 		}
 	}
-	l := newListener(nl)
+	l := newListener(nl, s.Pool)
 	// Stop must not wait for a server that has failed.
 	defer func() { _ = l.Close() }()
 	s.mu.Lock()
