--- a/internal/host/frontend/host_test.go
+++ b/internal/host/frontend/host_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/limpetrelay/limpetrelay/fault"
 	"github.com/limpetrelay/limpetrelay/internal/host/frontend"
 	"github.com/limpetrelay/limpetrelay/internal/host/hostconfig"
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobspec"
@@ -185,6 +186,23 @@
 	assert.Equal(t, frontend.Recorded, serve(h, frontend.Cancel, prefix+id, key, time.Second).Outcome)
 }
 
+// Guards against a refusal for want of memory that says the body was wrong, or that leaves a job.
+func TestRefusalForWantOfMemory(t *testing.T) {
+	s := newTestSystem(t)
+	s.configure(key)
+	h, _, _ := s.startHost("host")
+	s.waitReady(h)
+	resp := h.Serve(context.Background(), &frontend.Request{
+		Verb: frontend.Submit, Host: queue, Path: prefix + id, Key: key, ValidID: platform.ValidID,
+		Decode: func(int) (jobspec.Spec, error) {
+			return jobspec.Spec{}, fault.New(fault.Overloaded, "no memory", "retry")
+		},
+	})
+	assert.Equal(t, frontend.NotExecuted, resp.Outcome)
+	assert.True(t, resp.Close && resp.RetryAfter > 0)
+	assert.Equal(t, frontend.UnknownJob, serve(h, frontend.Query, prefix+id, key, time.Second).Outcome)
+}
+
 func TestWithdrawnKey(t *testing.T) {
 	s := newTestSystem(t)
 	s.configure(key, "key-b")
--- a/internal/host/frontend/request.go
+++ b/internal/host/frontend/request.go
@@ -26,7 +26,8 @@
 	// Timeout is how long the caller waits for the response; 0 if it did not say.
 	Timeout time.Duration
 	// Decode reads the job of a submission, whose body may have up to maxBytes bytes.
-	// It fails with fault.Invalid or fault.TooLarge.
+	// It fails with fault.Invalid, fault.TooLarge or, if the host has no memory for the job,
+	// fault.Overloaded.
 	Decode func(maxBytes int) (jobspec.Spec, error)
 	// ValidID reports whether a string is a well-formed job ID.
 	ValidID func(string) bool
@@ -72,6 +73,7 @@
 	Message string
 	// RetryAfter is the delay after which the caller may retry; 0 gives no advice.
 	RetryAfter time.Duration
-	// Close asks the caller to close its connection, since the host is shutting down.
+	// Close asks the caller to close its connection, since the host is shutting down or has no
+	// memory for its requests.
 	Close bool
 }
--- a/internal/host/frontend/serve.go
+++ b/internal/host/frontend/serve.go
@@ -33,11 +33,11 @@
 func (h *Host) Serve(ctx context.Context, req *Request) Response {
 	began := h.now()
 	resp, org, id := h.serve(ctx, req)
-	resp.Close = h.draining.Load()
+	resp.Close = resp.Close || h.draining.Load()
 	h.Metrics.Observe("answerTime", org, string(req.Verb), h.now()-began)
 	h.Metrics.Count("answers", string(req.Verb), string(resp.Outcome), 1)
 	if req.Verb == Submit || resp.Outcome != StateReported && resp.Outcome != CountReported {
-		h.Logger.Info("answered", slog.String("id", id), slog.String("verb", string(req.Verb)), slog.String("outcome", string(resp.Outcome)),
+		h.Logger.Info("answered", slog.String("id", id[:min(len(id), maxLoggedID)]), slog.String("verb", string(req.Verb)), slog.String("outcome", string(resp.Outcome)),
 			slog.String("why", resp.Message), slog.String("organisation", org), slog.Int64("tookMs", h.now()-began),
 			slog.Uint64("version", h.version()), slog.Int64("configAgeMs", began-h.configVerifiedAt.Load()),
 			slog.Int64("bookAgeMs", began-h.jobsVerifiedAt.Load()), slog.Duration("timeout", req.Timeout))
@@ -148,8 +148,13 @@
 		err = s.Validate()
 	}
 	if err != nil {
-		if fault.KindOf(err) == fault.TooLarge {
+		switch fault.KindOf(err) {
+		case fault.TooLarge:
 			return Response{Outcome: TooLarge, Message: fault.As(err).Error()}
+		case fault.Overloaded:
+			resp := notExecuted(fault.As(err).Message)
+			resp.Close = true
+			return resp
 		}
 		return Response{Outcome: Malformed, Message: fault.As(err).Error()}
 	}
