front: budget of the clients from the settings

limits.memory_mb and the new limits.max_fds bound what clients take; callers have 7/8 of the budget, the readiness check and the metrics 1/16 each. Limits come from the configuration in force. Closed connections are counted and logged at most once a second; the metrics are collected for one request at a time.

--- a/cmd/limpetrelay/front.go
+++ b/cmd/limpetrelay/front.go
@@ -121,12 +121,18 @@
 func serveAndDrain(ctx context.Context, h *frontend.Host, path string) error {
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	budget := newClientBudget(h)
 	servers := []*httpserver.Server{
 		newFrontServer(h.CallersAddress, platform.RequestHandler(h)), newFrontServer(h.ReadyAddress, platform.ReadinessHandler(h)),
 	}
 	if h.MetricsAddress != "" {
-		servers = append(servers, newFrontServer(h.MetricsAddress, metricsHandler(h)))
+		servers = append(servers, newFrontServer(h.MetricsAddress, metricsHandler(h, budget)))
 	}
+	for i, p := range newPools(budget)[:len(servers)] {
+		servers[i].Pool = p
+	}
+	budgetDone := make(chan error, 1)
+	go func() { budgetDone <- budget.Run(workCtx) }()
 	serverErrs := make(chan error, len(servers))
 	for _, s := range servers {
 		go func() { serverErrs <- s.Start(workCtx) }()
@@ -148,7 +154,7 @@
 		hostDone <- nil
 	}
 	cancel()
-	return errors.CombineErrors(err, errors.CombineErrors(<-hostDone, <-watchDone))
+	return errors.CombineErrors(err, errors.CombineErrors(<-hostDone, errors.CombineErrors(<-watchDone, <-budgetDone)))
 }
 
 // newFrontServer returns a server without a timeout, because each request carries
@@ -176,15 +182,6 @@
 // three seconds for a response.
 const stopTimeout = 3200 * time.Millisecond
 
-// metricsHandler serves the metrics as JSON.
-func metricsHandler(h *frontend.Host) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		h.UpdateGauges()
-		w.Header().Set("Content-Type", "application/json")
-		h.Metrics.WriteJSON(w)
-	})
-}
-
 // watchSettings reloads the settings on SIGHUP and when the file has changed, until
 // ctx ends. It logs the changed settings that take effect only after a restart, and
 // logs invalid settings without applying them.
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -10,6 +10,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/stretchr/testify/require"
 )
 
 const (
@@ -92,15 +94,19 @@
 		}
 	}
 	if i%8 == 0 && write(c, parts[len(parts)-1]) {
-		readResponse(c)
+		_ = readResponse(c)
 	}
 }
 
-func readResponse(c net.Conn) {
-	if res, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil {
-		_, _ = io.Copy(io.Discard, res.Body)
-		_ = res.Body.Close()
+// readResponse returns the status of a response, or 0 if there is none.
+func readResponse(c net.Conn) int {
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
 	}
+	_, _ = io.Copy(io.Discard, res.Body)
+	_ = res.Body.Close()
+	return res.StatusCode
 }
 
 // Guards against headers over the limit that are kept in memory up to net/http's own limit.
@@ -186,6 +192,22 @@
 	})
 }
 
+// Guards against timeouts that close the connection of a slow but legal caller.
+func TestSlowBody(t *testing.T) {
+	h := startHost(t, descriptors)
+	h.addJob(jobID)
+	c, err := net.Dial("tcp", h.callers)
+	require.NoError(t, err)
+	text := largestBody()
+	require.True(t, write(c, requestLine+fmt.Sprintf("Content-Length: %d\r\n\r\n", len(text))))
+	for i := 0; i < len(text); i += bodyBytes / 12 {
+		time.Sleep(230 * time.Millisecond)
+		require.True(t, write(c, text[i:min(i+bodyBytes/12, len(text))]))
+	}
+	require.Equal(t, http.StatusOK, readResponse(c))
+	h.check()
+}
+
 // Guards against connections without a request that take all descriptors.
 func TestIdleConnections(t *testing.T) {
 	h := startHost(t, fewDescriptors)
--- a/internal/host/hostconfig/settings.go
+++ b/internal/host/hostconfig/settings.go
@@ -18,6 +18,8 @@
 	CoreShare float64
 	// MemoryMB is the host's memory limit, in megabytes.
 	MemoryMB int64
+	// MaxDescriptors is the host's limit of open descriptors; 0 if it is not known.
+	MaxDescriptors int64
 	// LinkRate is the rate of the host's network link, in bytes a second; 0 if it is not
 	// known.
 	LinkRate float64
@@ -53,6 +55,7 @@
 		{"host", s.Host, old.Host}, {"dataCentre", s.DataCentre, old.DataCentre}, {"callers", s.CallersAddress, old.CallersAddress},
 		{"ready", s.ReadyAddress, old.ReadyAddress}, {"metrics", s.MetricsAddress, old.MetricsAddress}, {"store", s.StoreAddress, old.StoreAddress},
 		{"advice", s.AdviceAddress, old.AdviceAddress}, {"memoryMB", s.MemoryMB, old.MemoryMB},
+		{"maxDescriptors", s.MaxDescriptors, old.MaxDescriptors},
 	} {
 		if f.new != f.old {
 			names = append(names, f.name)
