emulator: a read returns at most max_kb

Cause: the stand-in ignored max_kb, so that records of 20 MB at once were cut off by the host's own bound and no host could read on: 'the answer to a read ends within a record', for good. Change: a page ends before max_kb is exceeded.

--- a/standin/emulator/store.go
+++ b/standin/emulator/store.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"io"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -278,6 +279,10 @@
 	if err != nil {
 		ms = 0
 	}
+	maxBytes := math.MaxInt
+	if kb, err := strconv.Atoi(q.Get("max_kb")); err == nil {
+		maxBytes = kb << 10
+	}
 	deadline := time.NewTimer(time.Duration(ms) * time.Millisecond)
 	defer deadline.Stop()
 	for waited := false; ; {
@@ -290,7 +295,7 @@
 			return
 		}
 		if from < t.end() || waited || ms == 0 {
-			b := t.page(from)
+			b := t.page(from, maxBytes)
 			s.mu.Unlock()
 			if _, err := w.Write(b); err != nil {
 				return
@@ -310,12 +315,15 @@
 }
 
 // page returns the encoded records from an offset on, after the partition's end and
-// first offset.
-func (t *topic) page(from uint64) []byte {
+// first offset. It takes up to maxBytes unless the first record is larger.
+func (t *topic) page(from uint64, maxBytes int) []byte {
 	b := binary.BigEndian.AppendUint64(nil, t.end())
 	b = binary.BigEndian.AppendUint64(b, t.first)
 	for i := from; i < t.end(); i++ {
 		raw := t.records[i-t.first].raw
+		if i > from && len(b)+4+len(raw) > maxBytes {
+			break
+		}
 		b = binary.BigEndian.AppendUint32(b, uint32(len(raw)))
 		b = append(b, raw...)
 	}
