--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -31,7 +31,7 @@
 // run sends a request from each of n clients at once to address and keeps the connections
 // open until the host has been checked. send returns once the host closes the connection.
 func run(h *host, n int, address string, send func(c net.Conn, i int)) {
-	h.addJob(jobID)
+	h.addJob(jobID, jobBody, 10)
 	var wg sync.WaitGroup
 	conns := make(chan net.Conn, n)
 	for i := range n {
@@ -192,10 +192,33 @@
 	})
 }
 
+// Guards against jobs of legal size that stay in memory, at many times their size, once they
+// are accepted: each client submits one of its own.
+func TestLargeJobs(t *testing.T) {
+	for name, field := range map[string]string{"after": `"after":[0` + strings.Repeat(",0", 100_000) + "]", "image": `"image":"` + strings.Repeat("p", 200_000) + `"`} {
+		t.Run(name, func(t *testing.T) {
+			h := startHost(t, descriptors)
+			text := strings.Replace(jobBody, "}]}", `},{"count":1,"cpu":1000,"mem_mb":64,"est_ms":10,`+field+"}]}", 1)
+			id := func(i int) string { return fmt.Sprintf("%016x", 4096+i) }
+			for i := range 600 {
+				h.addJob(id(i), text, 60_000)
+			}
+			run(h, 600, h.callers, func(c net.Conn, i int) {
+				// The clients come one after the other, so that none of them is refused on arrival.
+				time.Sleep(time.Duration(i) * 5 * time.Millisecond)
+				line := strings.Replace(requestLine, jobID, id(i), 1)
+				if write(c, line+fmt.Sprintf("Content-Length: %d\r\n\r\n", len(text))) && write(c, text) {
+					_ = readResponse(c)
+				}
+			})
+		})
+	}
+}
+
 // Guards against timeouts that close the connection of a slow but legal caller.
 func TestSlowBody(t *testing.T) {
 	h := startHost(t, descriptors)
-	h.addJob(jobID)
+	h.addJob(jobID, jobBody, 10)
 	c, err := net.Dial("tcp", h.callers)
 	require.NoError(t, err)
 	text := largestBody()
--- a/crowd/host_test.go
+++ b/crowd/host_test.go
@@ -166,19 +166,19 @@
 	return res.Body.Close() == nil && res.StatusCode == http.StatusOK
 }
 
-// addJob makes a job known to the workers, which run it for 10 ms.
-func (h *host) addJob(id string) {
-	spec, err := platform.DecodeJob([]byte(jobBody))
+// addJob makes a job known to the workers, which run its tasks for runTime milliseconds.
+func (h *host) addJob(id, text string, runTime int64) {
+	spec, err := platform.DecodeJob([]byte(text))
 	require.NoError(h.t, err)
 	spec.ID, spec.MaxAttempts = id, 4
-	h.workers.AddJob(&jobspec.Spec{ID: id, MaxAttempts: 4, Steps: spec.Steps}, 10, false)
+	h.workers.AddJob(&jobspec.Spec{ID: id, MaxAttempts: 4, Steps: spec.Steps}, runTime, false)
 }
 
 // check requires that the process lives within its bounds and serves an ordinary caller.
 func (h *host) check() {
 	h.t.Helper()
 	const id = "00000000000000ff"
-	h.addJob(id)
+	h.addJob(id, jobBody, 10)
 	require.Eventually(h.t, func() bool { return h.submit(id) }, 20*time.Second, 100*time.Millisecond, "an ordinary request is not answered")
 	require.Eventually(h.t, h.isReady, 20*time.Second, 100*time.Millisecond, "the readiness check fails")
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.cmd.Process.Pid))
--- a/internal/host/frontend/host_test.go
+++ b/internal/host/frontend/host_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -76,7 +77,7 @@
 	clockSkip = &atomic.Int64{}
 	began := time.Now()
 	h = &frontend.Host{
-		Settings:    hostconfig.Settings{Host: name, RevocationTimeout: 5000, MaxLease: 10_000, MaxAppendBytes: 1 << 20, CoreShare: 1},
+		Settings:    hostconfig.Settings{Host: name, RevocationTimeout: 5000, MaxLease: 10_000, MaxAppendBytes: 1 << 20, CoreShare: 1, MemoryMB: 128},
 		Incarnation: incarnation, Logger: slog.New(slog.DiscardHandler),
 		Dependencies: frontend.Dependencies{
 			Store: platform.NewStore(c, s.address),
@@ -203,6 +204,34 @@
 	assert.Equal(t, frontend.UnknownJob, serve(h, frontend.Query, prefix+id, key, time.Second).Outcome)
 }
 
+// Guards against jobs that take all memory of the hosts while they are open, and against large
+// ones that leave no room for others.
+func TestOpenJobsAreBounded(t *testing.T) {
+	s := newTestSystem(t)
+	s.configure(key)
+	h, _, _ := s.startHost("host")
+	s.waitReady(h)
+	submit := func(n, size int) frontend.Response {
+		return h.Serve(context.Background(), &frontend.Request{
+			Verb: frontend.Submit, Host: queue, Path: prefix + fmt.Sprintf("%016x", n), Key: key, ValidID: platform.ValidID,
+			Decode: func(int) (jobspec.Spec, error) {
+				return jobspec.Spec{Payload: "x", Steps: []jobspec.Step{{Tasks: 1, Image: strings.Repeat("p", size)}}}, nil
+			},
+		})
+	}
+	const size = 250_000
+	n := 0
+	for submit(n, size).Outcome == frontend.Recorded {
+		n++
+		require.Eventually(t, func() bool {
+			return serve(h, frontend.Query, prefix+fmt.Sprintf("%016x", n-1), key, time.Second).Outcome == frontend.StateReported
+		}, 5*time.Second, time.Millisecond)
+	}
+	assert.Equal(t, 60, n, "one more would take an eighth of what is left of 16 MiB")
+	assert.Equal(t, frontend.NotExecuted, submit(n, size).Outcome)
+	assert.Equal(t, frontend.Recorded, submit(n, 1000).Outcome)
+}
+
 func TestWithdrawnKey(t *testing.T) {
 	s := newTestSystem(t)
 	s.configure(key, "key-b")
--- a/internal/host/frontend/serve.go
+++ b/internal/host/frontend/serve.go
@@ -174,6 +174,9 @@
 	if resp, down := h.refuseIfStoreDown(); down {
 		return resp
 	}
+	if !h.hasRoom(&s) {
+		return notExecuted("the jobs that have not ended take all memory for jobs")
+	}
 	rec, err := jobstate.AcceptedRecord(&s)
 	if err != nil {
 		return Response{Outcome: Malformed, Message: err.Error()}
--- a/internal/scheduling/jobspec/spec.go
+++ b/internal/scheduling/jobspec/spec.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"unsafe"
 
 	"github.com/limpetrelay/limpetrelay/fault"
 )
@@ -155,6 +156,17 @@
 	return nil
 }
 
+// Size returns about how much memory the payload and the steps take, in bytes; 0 for a
+// summary.
+func (s *Spec) Size() int64 {
+	n := len(s.Payload)
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		n += int(unsafe.Sizeof(*step)) + len(step.After)*int(unsafe.Sizeof(i)) + len(step.Label) + len(step.DataRack) + len(step.Image)
+	}
+	return int64(n)
+}
+
 // Objective returns the time from submission within which the completion of the job is
 // worth most.
 func (s *Spec) Objective() int64 {
--- a/internal/scheduling/jobstate/table.go
+++ b/internal/scheduling/jobstate/table.go
@@ -55,6 +55,8 @@
 type Table struct {
 	// Jobs is by ID. It has every job of which a record exists.
 	Jobs map[string]*Job
+	// SpecBytes is the memory of the specs of Jobs, in bytes.
+	SpecBytes int64
 	// Claim is the newest claim, renewal or resignation. Renewals is the number of such
 	// records that were applied.
 	Claim    Claim
@@ -125,6 +127,7 @@
 		// The first acceptance is kept, since a repeat is the same request, until the
 		// summary of the ended job replaces it.
 		if j.Spec == nil || s == nil || s.IsSummary() {
+			t.SpecBytes += specBytes(s) - specBytes(j.Spec)
 			j.Spec = s
 		}
 		j.specAt = at
@@ -148,6 +151,13 @@
 	return Change{Job: id}, nil
 }
 
+func specBytes(s *jobspec.Spec) int64 {
+	if s == nil {
+		return 0
+	}
+	return s.Size()
+}
+
 // setProgress applies the progress of a job. at is one more than the offset of its record.
 func (t *Table) setProgress(id string, j *Job, p *jobspec.Progress, at uint64) {
 	wasEnded := j.ended()
--- a/internal/scheduling/jobstate/table_test.go
+++ b/internal/scheduling/jobstate/table_test.go
@@ -46,8 +46,10 @@
 	accepted, err := jobstate.AcceptedRecord(&s)
 	require.NoError(t, err)
 	var table jobstate.Table
-	apply(t, &table, accepted)
+	apply(t, &table, accepted, accepted)
+	assert.Equal(t, s.Size(), table.SpecBytes)
 	apply(t, &table, rs...)
+	assert.Zero(t, table.SpecBytes)
 	j := table.Jobs[s.ID]
 	assert.Equal(t, jobspec.Failed, j.State())
 	assert.Equal(t, "crew", j.Spec.Organisation)
