--- a/internal/host/httpserver/server.go
+++ b/internal/host/httpserver/server.go
@@ -5,6 +5,8 @@
 // not yet accepted, and drops without a response a request that is read completely
 // after it has begun. Server.Stop therefore closes the connections itself and calls
 // Shutdown only when none is left.
+//
+// A Budget bounds the memory and the descriptors that the clients of a process take.
 package httpserver
 
 import (
