--- a/internal/host/frontend/host_test.go
+++ b/internal/host/frontend/host_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"log/slog"
 	"net/http/httptest"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,6 +15,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/limpetrelay/limpetrelay/fault"
 	"github.com/limpetrelay/limpetrelay/internal/host/frontend"
 	"github.com/limpetrelay/limpetrelay/internal/host/hostconfig"
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobspec"
@@ -75,7 +78,7 @@
 	clockSkip = &atomic.Int64{}
 	began := time.Now()
 	h = &frontend.Host{
-		Settings:    hostconfig.Settings{Host: name, RevocationTimeout: 5000, MaxLease: 10_000, MaxAppendBytes: 1 << 20, CoreShare: 1},
+		Settings:    hostconfig.Settings{Host: name, RevocationTimeout: 5000, MaxLease: 10_000, MaxAppendBytes: 1 << 20, CoreShare: 1, MemoryMB: 128},
 		Incarnation: incarnation, Logger: slog.New(slog.DiscardHandler),
 		Dependencies: frontend.Dependencies{
 			Store: platform.NewStore(c, s.address),
@@ -186,6 +189,54 @@
 	assert.Equal(t, frontend.Recorded, serve(h, frontend.Cancel, prefix+id, key, time.Second).Outcome)
 }
 
+// Guards against a refusal for want of memory that says the body was wrong, or that leaves a job.
+func TestRefusalForWantOfMemory(t *testing.T) {
+	s := newTestSystem(t)
+	s.configure(key)
+	h, _, _ := s.startHost("host")
+	s.waitReady(h)
+	resp := h.Serve(context.Background(), &frontend.Request{
+		Verb: frontend.Submit, Host: queue, Path: prefix + id, Key: key, ValidID: platform.ValidID,
+		Decode: func(int) (jobspec.Spec, error) {
+			return jobspec.Spec{}, fault.New(fault.Overloaded, "no memory", "retry")
+		},
+	})
+	assert.Equal(t, frontend.NotExecuted, resp.Outcome)
+	assert.True(t, resp.Close && resp.RetryAfter > 0)
+	assert.Equal(t, frontend.UnknownJob, serve(h, frontend.Query, prefix+id, key, time.Second).Outcome)
+}
+
+// Guards against jobs that take all memory of the hosts while they are open, and against large
+// ones that leave no room for others.
+func TestOpenJobsAreBounded(t *testing.T) {
+	s := newTestSystem(t)
+	s.configure(key)
+	h, _, _ := s.startHost("host")
+	s.waitReady(h)
+	submit := func(n, size int) frontend.Response {
+		return h.Serve(context.Background(), &frontend.Request{
+			Verb: frontend.Submit, Host: queue, Path: prefix + fmt.Sprintf("%016x", n), Key: key, ValidID: platform.ValidID,
+			Decode: func(int) (jobspec.Spec, error) {
+				return jobspec.Spec{Payload: "x", Steps: []jobspec.Step{{Tasks: 1, Image: strings.Repeat("p", size)}}}, nil
+			},
+		})
+	}
+	const size = 250_000
+	var n atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 120 {
+		wg.Go(func() {
+			if submit(i, size).Outcome == frontend.Recorded {
+				n.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	assert.EqualValues(t, 60, n.Load(), "one more would take an eighth of what is left of 16 MiB")
+	assert.Equal(t, frontend.NotExecuted, submit(200, size).Outcome)
+	assert.Equal(t, frontend.Recorded, submit(201, 1000).Outcome)
+}
+
 func TestWithdrawnKey(t *testing.T) {
 	s := newTestSystem(t)
 	s.configure(key, "key-b")
