coordinator, frontend: learned run times, and refusals of what a backlog makes useless

Cause: an estimate that is off by a factor of e was believed until a run showed progress, and a queue that needs a minute for what waits in it went on accepting jobs that end after three objectives, when they are of no use. Measured: TestBacklogIsTold tells 120 s within 60 s for 120 waiting jobs at about one a second.

--- a/internal/host/frontend/serve.go
+++ b/internal/host/frontend/serve.go
@@ -174,6 +174,9 @@
 	if resp, down := h.refuseIfStoreDown(); down {
 		return resp
 	}
+	if resp, refused := h.refuseIfTooLate(&s); refused {
+		return resp
+	}
 	rec, err := jobstate.AcceptedRecord(&s)
 	if err != nil {
 		return Response{Outcome: Malformed, Message: err.Error()}
--- a/internal/scheduling/coordinator/attempt.go
+++ b/internal/scheduling/coordinator/attempt.go
@@ -482,6 +482,7 @@
 // of them.
 func (s *State) completeTask(u *unit, t *jobspec.Task) {
 	t.Finish()
+	s.observeRunTime(u)
 	if !u.spec().Gang {
 		return
 	}
--- a/internal/scheduling/coordinator/contention_test.go
+++ b/internal/scheduling/coordinator/contention_test.go
@@ -52,3 +52,23 @@
 	r := w.Results()[0]
 	assert.Less(t, r.Waited, int64(precedence.MaxWait+8000), "%+v", r)
 }
+
+// Guards against hosts that accept more and more work into a queue that can't serve it: the
+// coordinator tells them of the wait, and of none once the queue has drained.
+func TestBacklogIsTold(t *testing.T) {
+	p := simulation.Scenario{Workers: 4, Configuration: configuration(0)}
+	for i := range 150 {
+		s := batch(fmt.Sprintf("b%03d", i), 8, 4000)
+		s.Route = "batch"
+		p.Jobs = append(p.Jobs, simulation.Arrival{At: int64(1000 + 200*i), Spec: s})
+	}
+	w := simulation.New(p)
+	w.Run(30_000)
+	told := w.Claim().Backlogs
+	if assert.Len(t, told, 1) {
+		assert.Equal(t, "batch", told[0].Route)
+		assert.InDelta(t, 120_000, told[0].Wait, 60_000, "about 120 jobs wait, and one begins in a second")
+	}
+	w.RunUntilEnded(400_000)
+	assert.Empty(t, w.Claim().Backlogs)
+}
--- a/internal/scheduling/coordinator/pace.go
+++ b/internal/scheduling/coordinator/pace.go
@@ -116,6 +116,38 @@
 	return a.remaining
 }
 
+// expectedRunTime returns how long a task of a unit is expected to take at a typical worker, in
+// milliseconds: as long as others of its step do, or else as the jobs of its queue do relative to
+// their estimates.
+func (s *State) expectedRunTime(j *job, u *unit) float64 {
+	if w := j.work[stepID(j, u.occurrence, u.step)]; w != nil {
+		if t, ok := w.Median(); ok {
+			return t
+		}
+	}
+	return s.runTimes.Quantile(queueOf(j), float64(u.spec().Estimate), 0.5)
+}
+
+// queueOf returns the queue whose run times those of a job are like.
+func queueOf(j *job) estimate.Queue {
+	return estimate.Queue{Route: j.spec.Route, Organisation: j.spec.Organisation}
+}
+
+// observeRunTime learns from the work of a step once a task of it is done. A step counts once.
+func (s *State) observeRunTime(u *unit) {
+	w := u.job.work[stepID(u.job, u.occurrence, u.step)]
+	if w == nil || u.spec().LongRunning {
+		return
+	}
+	if t, ok := w.Median(); ok && !u.job.observed[u.step] {
+		if u.job.observed == nil {
+			u.job.observed = make(map[int]bool)
+		}
+		u.job.observed[u.step] = true
+		s.runTimes.Observe(queueOf(u.job), float64(u.spec().Estimate), t)
+	}
+}
+
 // ownRemainingTime returns the estimated remaining run time of an attempt regardless of its gang,
 // in milliseconds, by its progress if that is known.
 func (s *State) ownRemainingTime(a *attempt) int64 {
@@ -123,7 +155,7 @@
 		left := int64(a.runTime*float64(100-min(100, a.percent))/100) - (s.now - a.reportedAt)
 		return max(endReportDelay, left)
 	}
-	total := float64(a.spec().Estimate) * a.w.pace.Factor() * s.remoteFactor(a)
+	total := s.expectedRunTime(a.job, a.unit) * a.w.pace.Factor() * s.remoteFactor(a)
 	if a.startedAt == 0 {
 		return int64(total)
 	}
--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -671,6 +671,9 @@
 		}
 	}
 	s.firstPlaced = s.firstPlaced || !j.placed
+	if !j.placed {
+		s.noteBegun(j.spec.Route, s.now)
+	}
 	j.placed = true
 	s.markDirty(j)
 	s.log("placed", slog.String("id", j.id), slog.Int("step", r.step), slog.Int("tasks", len(indices)),
--- a/internal/scheduling/coordinator/recorder.go
+++ b/internal/scheduling/coordinator/recorder.go
@@ -119,6 +119,7 @@
 	if !s.predecessorsGone {
 		c.Predecessors = s.Predecessors
 	}
+	c.Backlogs = s.currentBacklogs()
 	return c
 }
 
--- a/internal/scheduling/coordinator/state.go
+++ b/internal/scheduling/coordinator/state.go
@@ -158,11 +158,15 @@
 	// until unclaimedRetention after it.
 	unclaimedDetails jobstate.Details
 
+	// runTimes holds the learned run times of the queues.
+	runTimes estimate.RunTimes
+
 	recorder
 	advisor
 	pacing
 	evacuations
 	paceRecorder
+	backlogs
 
 	// planDue is set when the waiting tasks should be considered again; plannedAt is
 	// the time of the last scheduling pass. fullPlanDue is set when those that are not urgent
@@ -227,6 +231,8 @@
 	recordedView callerView
 	// work holds, by step, what is known of the work of its tasks.
 	work map[jobspec.TaskID]*estimate.Work
+	// observed holds the steps whose run time counts for the job's queue.
+	observed map[int]bool
 	// room holds, for steps that wait for a better place, since when there has been room for
 	// twice what they would start; see placeStranded.
 	room map[jobspec.TaskID]roomSeen
--- a/internal/scheduling/jobstate/record.go
+++ b/internal/scheduling/jobstate/record.go
@@ -73,6 +73,16 @@
 	// BoundedLeases is set if no lease of this coordinator and those in Predecessors outlasts
 	// the validity of its claim, except as the recorded leases say.
 	BoundedLeases bool `cbor:"11,keyasint,omitempty"`
+	// Backlogs holds the routes whose jobs wait for long. Hosts turn away what can't be served in its
+	// time.
+	Backlogs []Backlog `cbor:"12,keyasint,omitempty"`
+}
+
+// Backlog is how long the jobs of a route wait before they begin.
+type Backlog struct {
+	Route string `cbor:"1,keyasint"`
+	// Wait is in milliseconds.
+	Wait int64 `cbor:"2,keyasint"`
 }
 
 // LeasesBounded reports whether no lease of the claim's coordinator and earlier ones outlasts
--- a/internal/scheduling/simulation/result.go
+++ b/internal/scheduling/simulation/result.go
@@ -1,6 +1,9 @@
 package simulation
 
-import "github.com/limpetrelay/limpetrelay/internal/scheduling/placement"
+import (
+	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobstate"
+	"github.com/limpetrelay/limpetrelay/internal/scheduling/placement"
+)
 
 // noteEnd records what the end of a run of task t means for the result of its job.
 func (c *Cluster) noteEnd(r *run, t *simulatedTask, outcome placement.Outcome) {
@@ -38,3 +41,6 @@
 	}
 	return spec.Objective()
 }
+
+// Claim returns the newest claim of a coordinator.
+func (c *Cluster) Claim() jobstate.Claim { return c.table.Claim }
