coordinator: a stranded gang takes a reserved rack, and waits for one while the service is busy

Change: a reserved rack that holds the gang goes before several racks; while more than 55 % of the cores and accelerators are in use, the gang waits for a rack for as long as spreading it would cost.

--- a/internal/scheduling/coordinator/stranded.go
+++ b/internal/scheduling/coordinator/stranded.go
@@ -61,14 +61,46 @@
 	if s.now < room.since+limit {
 		return
 	}
-	places := placement.PlaceAnywhere(pool.candidates, startSize(demand))
+	var places []int
+	if demand.Step.Gang && demand.Step.SameRack {
+		// A reserved rack is better than several.
+		places = placement.PlaceInRack(pool.candidates, pool.racks, demand)
+	}
+	inRack := places != nil
+	if !inRack && s.waitsForRack(r, pool) {
+		return
+	}
+	if !inRack {
+		places = placement.PlaceAnywhere(pool.candidates, startSize(demand))
+	}
 	s.log("placed with less locality", slog.String("id", r.id), slog.Int("step", r.step), slog.Int64("roomForMs", s.now-room.since),
-		slog.Bool("gang", demand.Step.Gang), slog.Bool("sameRack", demand.Step.SameRack), slog.String("dataRack", demand.Step.DataRack),
+		slog.Bool("gang", demand.Step.Gang), slog.Bool("sameRack", demand.Step.SameRack), slog.Bool("inRack", inRack), slog.String("dataRack", demand.Step.DataRack),
 		slog.Bool("reserved", pool.excludesReserved(r)))
 	s.commitPlacement(r, pool, r.indices[:len(places)], places, nil)
 	delete(r.room, step)
 }
 
+// waitsForRack reports whether a gang goes on waiting for a rack rather than be spread over several,
+// which takes RemoteFactor times as long: the service is busy, so that capacity does not lie idle for
+// it, and the gang has waited for less than spreading it would cost.
+func (s *State) waitsForRack(r *request, pool *candidatePool) bool {
+	step := &r.spec.Steps[r.step]
+	if !step.Gang || !step.SameRack || float64(s.age(r)) > (s.RemoteFactor-1)*float64(step.Estimate) {
+		return false
+	}
+	var used, capacity jobspec.Resources
+	for i := range pool.candidates {
+		c := &pool.candidates[i]
+		capacity = capacity.Add(c.Capacity)
+		used = used.Add(c.Capacity.Sub(c.Free))
+	}
+	return float64(used.Cores) > busyShare*float64(capacity.Cores) && float64(used.Accelerators) > busyShare*float64(capacity.Accelerators)
+}
+
+// busyShare is the share of a service's cores and accelerators in use from which on it is busy. The
+// operators require that nothing waits while less than half is in use.
+const busyShare = 0.55
+
 // startSize returns the part of a demand that starts together: a gang, or one task.
 func startSize(demand *placement.Request) *placement.Request {
 	if demand.Step.Gang {
