--- a/internal/scheduling/queueconfig/configcheck/check.go
+++ b/internal/scheduling/queueconfig/configcheck/check.go
@@ -74,7 +74,7 @@
 			c.addf(Warning, Place{Kind: ServiceEntry, Index: i}, "remove it, mark it as spare, or send a route to it", "no route uses the service")
 		case n > 0 && s.Spare:
 			c.addf(Warning, Place{Kind: ServiceEntry, Index: i, Field: Spare}, "switch the service on, or send the routes elsewhere",
-				"the service is spare, but %d routes use it", n)
+				"the service is spare, but %d of the routes use it", n)
 		}
 	}
 }
--- a/internal/scheduling/queueconfig/configcheck/finding.go
+++ b/internal/scheduling/queueconfig/configcheck/finding.go
@@ -34,7 +34,7 @@
 	Public          Field = "public access"
 	RequiresAdvice  Field = "advice"
 	RejectsOverload Field = "rejection of overload"
-	Spare           Field = "spare"
+	Spare           Field = "spare setting"
 	HealthPath      Field = "health path"
 	Guaranteed      Field = "guarantee"
 	Key             Field = "key"
