--- a/cmd/limpetrelay/check.go
+++ b/cmd/limpetrelay/check.go
@@ -36,31 +36,53 @@
 func checkCommand() *cli.Command {
 	return &cli.Command{
 		Name:        "check",
-		Usage:       "validate a settings file and list all problems",
+		Usage:       "validate a settings file, or a configuration before it is published, and list all problems",
 		ArgsUsage:   "FILE",
-		Description: "Example with all keys:\n\n" + settingsExample + "\n" + exitCodeHelp,
-		Flags:       []cli.Flag{outputFlag()},
+		Description: "Example with all keys:\n\n" + settingsExample + "\n" + configurationCheckHelp + "\n" + exitCodeHelp,
+		Flags: []cli.Flag{
+			outputFlag(),
+			&cli.BoolFlag{Name: "json", Usage: "the same as --output json"},
+			&cli.StringFlag{Name: "configuration", Usage: "check a configuration of the command front instead of a settings file"},
+			&cli.StringFlag{Name: "current", Usage: "with --configuration: the version in force, to compare with"},
+			&cli.Int64Flag{Name: "accelerators", Usage: "with --configuration: the number of accelerators that can be guaranteed; 0 if unknown"},
+		},
 		Action: func(_ context.Context, c *cli.Command) error {
-			file, err := singleArgument(c, "a settings file")
-			if err != nil {
-				return err
-			}
-			_, problems := settings.Load(file)
-			if problems == nil {
-				problems = []settings.Problem{}
-			}
-			if err := writeOutput(c, problems, func(w io.Writer) {
-				for _, p := range problems {
-					_, _ = fmt.Fprintln(w, p)
+			if c.Bool("json") {
+				if err := c.Set("output", "json"); err != nil {
+					return err
 				}
-			}); err != nil {
-				return err
 			}
-			return problemsError(problems)
+			if c.IsSet("configuration") {
+				return checkConfiguration(c)
+			}
+			return checkSettings(c)
 		},
 	}
 }
 
+// checkSettings runs `limpetrelay check FILE`.
+func checkSettings(c *cli.Command) error {
+	if c.IsSet("current") || c.IsSet("accelerators") {
+		return fault.New(fault.Invalid, "--current and --accelerators concern a configuration", "add --configuration FILE")
+	}
+	file, err := singleArgument(c, "a settings file")
+	if err != nil {
+		return err
+	}
+	_, problems := settings.Load(file)
+	if problems == nil {
+		problems = []settings.Problem{}
+	}
+	if err := writeOutput(c, problems, func(w io.Writer) {
+		for _, p := range problems {
+			_, _ = fmt.Fprintln(w, p)
+		}
+	}); err != nil {
+		return err
+	}
+	return problemsError(problems)
+}
+
 // problemsError returns a fault of kind Invalid that counts the problems, or nil
 // when there are none. It does not list them.
 func problemsError(problems []settings.Problem) error {
