--- a/internal/host/frontend/evacuation.go
+++ b/internal/host/frontend/evacuation.go
@@ -12,14 +12,9 @@
 	"github.com/limpetrelay/limpetrelay/internal/storage/keyedstore"
 )
 
-const (
-	// startOrderTime is the part of the evacuation timeout that is kept for the way of a start order
-	// to its worker, in milliseconds. An order waits for an answer for about 500 ms.
-	startOrderTime = 1500
-	// evacuationGaugeInterval is the least time between two updates of the number of evacuated
-	// workers, in milliseconds.
-	evacuationGaugeInterval = 1000
-)
+// startOrderTime is the part of the evacuation timeout that is kept for the way of a start order to
+// its worker, in milliseconds. An order waits for an answer for about 500 ms.
+const startOrderTime = 1500
 
 // evacuations is the host's copy of the operators' requests to evacuate data centres.
 type evacuations struct {
@@ -145,10 +140,3 @@
 	l.evacuated <- postedEvent{Event: e, at: l.now()}
 }
 
-// updateEvacuationGauge updates the number of workers in data centres under evacuation.
-func (l *leader) updateEvacuationGauge() {
-	if now := l.now(); now >= l.evacuationGaugeAt+evacuationGaugeInterval {
-		l.evacuationGaugeAt = now
-		l.Metrics.SetGauge("evacuatedWorkers", float64(l.state.EvacuatedWorkers()))
-	}
-}
--- a/internal/host/frontend/leader.go
+++ b/internal/host/frontend/leader.go
@@ -223,7 +223,7 @@
 	cancel()
 	<-ends
 	<-ends
-	h.Metrics.SetGauge("evacuatedWorkers", 0)
+	l.clearGauges()
 	if !voluntary {
 		h.ineligibleUntil = h.now() + ineligiblePeriod
 	}
@@ -273,8 +273,8 @@
 	jobs, details partition
 	// slowEventAt is when a slow event was last logged; 0 for never.
 	slowEventAt int64
-	// evacuationGaugeAt is when the number of evacuated workers was last updated; 0 for never.
-	evacuationGaugeAt int64
+	// gaugesAt is when the gauges of the coordinator were last updated; 0 for never.
+	gaugesAt int64
 }
 
 // postedEvent is an event that waits for the coordinator since at.
@@ -333,7 +333,7 @@
 		effects = l.state.Apply(&e.Event)
 		took = l.now() - e.Now
 		l.observeEvent(e.Waited, took)
-		l.updateEvacuationGauge()
+		l.updateGauges()
 	}
 }
 
--- a/internal/scheduling/coordinator/backlog.go
+++ b/internal/scheduling/coordinator/backlog.go
@@ -64,3 +64,6 @@
 	}
 	return s.current
 }
+
+// Backlogs returns the number of queues whose jobs wait for long.
+func (s *State) Backlogs() int { return len(s.current) }
