frontend: a query for an open job waits up to 250 ms for its end

Cause: callers ask right when their job's last task ends, and again 260 ms later. Change: a query for a job that has not ended is answered with its end, at the latest after 250 ms; not while the host drains.

--- a/internal/host/frontend/evacuation.go
+++ b/internal/host/frontend/evacuation.go
@@ -139,4 +139,3 @@
 	}
 	l.evacuated <- postedEvent{Event: e, at: l.now()}
 }
-
--- a/internal/host/frontend/follow.go
+++ b/internal/host/frontend/follow.go
@@ -250,6 +250,7 @@
 		events = append(events, coordinator.Event{Job: h.jobChange(id)})
 	}
 	h.loaded, h.claimSeenAt = true, h.now()
+	h.endWaiters.endedAll()
 	post := h.postEvent
 	h.mu.Unlock()
 	for i := range events {
@@ -293,6 +294,9 @@
 	if c.ExitRecorded && h.table.PredecessorsGone(&h.priorClaim, h.Name()) {
 		ev.PredecessorsGone = true
 	}
+	if j := h.table.Jobs[c.Job]; j == nil || j.State().Ended() {
+		h.endWaiters.ended(c.Job)
+	}
 	ev.Job = h.jobChange(c.Job)
 	return ev
 }
--- a/internal/host/frontend/host.go
+++ b/internal/host/frontend/host.go
@@ -36,6 +36,8 @@
 	// mu guards the fields from table to reloadedSettings.
 	mu    sync.Mutex
 	table jobstate.Table
+	// endWaiters holds the queries that wait for the end of a job.
+	endWaiters endWaiters
 	// loaded is set once table holds what the store held when the host started.
 	loaded bool
 	// claimSeenAt is when table was last loaded or last applied a claim, a renewal or a
@@ -121,6 +123,7 @@
 	}
 	h.wallLead.Store(h.Wall().UnixMilli() - h.now())
 	h.currentRevocationTimeout.Store(h.RevocationTimeout)
+	h.endWaiters = make(endWaiters)
 	h.writer.init()
 	h.monitor.init(h)
 }
--- a/internal/host/frontend/serve.go
+++ b/internal/host/frontend/serve.go
@@ -89,7 +89,7 @@
 	case Cancel:
 		return h.cancel(ctx, req, org, id), org, id
 	default:
-		return h.jobStatus(org, id), org, id
+		return h.jobStatus(ctx, org, id), org, id
 	}
 }
 
@@ -113,9 +113,12 @@
 }
 
 // jobStatus answers a query for a job.
-func (h *Host) jobStatus(org, id string) Response {
+func (h *Host) jobStatus(ctx context.Context, org, id string) Response {
 	j, found, fresh := h.findJob(org, id)
 	switch {
+	case found && !j.State().Ended():
+		j = h.awaitEnd(ctx, org, id, j)
+		return Response{Outcome: StateReported, State: j.State()}
 	case found:
 		return Response{Outcome: StateReported, State: j.State()}
 	case !fresh:
--- /dev/null
+++ b/internal/host/frontend/statuswait.go
@@ -0,0 +1,73 @@
+package frontend
+
+import (
+	"context"
+	"time"
+
+	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobstate"
+)
+
+// statusWait is how long a query for the state of a job that has not ended waits for the job's end. The end is
+// told once it is in the store and was read here, up to 250 ms after the last task has ended; a caller
+// that is told of an open job right before that asks again only later.
+const statusWait = 250 * time.Millisecond
+
+// endWaiters holds, by job, what is closed once the end of the job was read. It is guarded by Host.mu.
+type endWaiters map[string]chan struct{}
+
+// wait returns the channel that is closed with the end of a job. Its entry lasts until then.
+func (ws endWaiters) wait(id string) <-chan struct{} {
+	c := ws[id]
+	if c == nil {
+		c = make(chan struct{})
+		ws[id] = c
+	}
+	return c
+}
+
+// ended wakes those who wait for the end of a job.
+func (ws endWaiters) ended(id string) {
+	if c := ws[id]; c != nil {
+		close(c)
+		delete(ws, id)
+	}
+}
+
+// endedAll wakes all.
+func (ws endWaiters) endedAll() {
+	for id := range ws {
+		ws.ended(id)
+	}
+}
+
+// awaitEnd waits up to statusWait for the end of an open job, unless the host is shutting down, and
+// returns the job as it is then. j is the job as it was found before.
+func (h *Host) awaitEnd(ctx context.Context, org, id string, j jobstate.Job) jobstate.Job {
+	if h.draining.Load() {
+		return j
+	}
+	h.mu.Lock()
+	open := h.table.Jobs[id]
+	if open == nil || open.State().Ended() {
+		h.mu.Unlock()
+		return h.jobOr(org, id, j)
+	}
+	ended := h.endWaiters.wait(id)
+	h.mu.Unlock()
+	t := time.NewTimer(statusWait)
+	defer t.Stop()
+	select {
+	case <-ended:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return h.jobOr(org, id, j)
+}
+
+// jobOr returns a job as it is now, or j if it is not known any more.
+func (h *Host) jobOr(org, id string, j jobstate.Job) jobstate.Job {
+	if now, found, _ := h.findJob(org, id); found {
+		return now
+	}
+	return j
+}
