coordinator: a backlog is computed from how fast its own jobs begin

Cause: the drain rate of a queue was an average over 20 s that also counted the time in which no job waited. Jobs then begin as fast as they arrive, so that the first burst after a quiet time was given a wait of several times its length, and hosts refused jobs that could have been served. The rates were also kept for routes that were removed.

Change: the rate of a route is dropped while none of its jobs has waited for a second.

--- a/internal/scheduling/coordinator/backlog.go
+++ b/internal/scheduling/coordinator/backlog.go
@@ -21,6 +21,8 @@
 
 // backlogs follows how fast queues drain.
 type backlogs struct {
+	// drains holds the routes whose jobs wait for at least backlogInterval, and those of which a job
+	// has begun since computedAt.
 	drains map[string]*precedence.Drain
 	// current holds the backlogs as of computedAt.
 	current    []jobstate.Backlog
@@ -45,16 +47,17 @@
 		return s.current
 	}
 	s.computedAt = s.now
-	waiting := make(map[string]int)
-	for _, j := range s.jobs {
-		if j.progress.State == jobspec.Queued && !j.placed && j.spec.Priority > 0 && j.spec.Occurrences == 0 {
-			waiting[j.spec.Route]++
-		}
-	}
+	waiting := s.waitingJobs()
 	before := len(s.current)
 	s.current = nil
 	for route, d := range s.drains {
-		if wait := d.Wait(s.now, waiting[route]); wait >= minBacklogWait {
+		q := waiting[route]
+		if s.now-q.since < backlogInterval || q.jobs == 0 {
+			// Jobs began as fast as they came, which says nothing about how fast a backlog drains.
+			delete(s.drains, route)
+			continue
+		}
+		if wait := d.Wait(s.now, q.jobs); wait >= minBacklogWait {
 			s.current = append(s.current, jobstate.Backlog{Route: route, Wait: wait})
 		}
 	}
@@ -64,3 +67,25 @@
 	}
 	return s.current
 }
+
+// waitingQueue is the number of jobs of a route that wait, and since when the oldest does.
+type waitingQueue struct {
+	jobs  int
+	since int64
+}
+
+// waitingJobs returns the jobs that wait, by route.
+func (s *State) waitingJobs() map[string]waitingQueue {
+	waiting := make(map[string]waitingQueue)
+	for _, j := range s.jobs {
+		if j.progress.State != jobspec.Queued || j.placed || j.spec.Priority <= 0 || j.spec.Occurrences > 0 {
+			continue
+		}
+		q := waiting[j.spec.Route]
+		if q.jobs++; q.jobs == 1 || j.acceptedAt < q.since {
+			q.since = j.acceptedAt
+		}
+		waiting[j.spec.Route] = q
+	}
+	return waiting
+}
