coordinator: what is learned of a step's work is dropped with its occurrence

Cause: a job's work, and the times since when there was room for its steps, stayed in memory for every occurrence that was done, up to 100,000 of them, and for ended jobs until they were forgotten.

Change: both are dropped when an occurrence is done and when the job ends. Runs that are still being stopped then no longer count for the work of a step.

Result: TestWorkIsDroppedAtTheEnd was red before (2 entries where 1 was open, 2 after the end) and passes; go test ./internal/scheduling/coordinator passes.

--- a/internal/scheduling/coordinator/attempt.go
+++ b/internal/scheduling/coordinator/attempt.go
@@ -561,6 +561,7 @@
 	for k := range occurrences {
 		if occurrences[k] != nil && jobspec.OccurrenceDone(occurrences[k]) {
 			occurrences[k] = nil
+			j.forgetOccurrence(k)
 			s.markDirty(j)
 		}
 	}
@@ -580,6 +581,7 @@
 	j.progress.State, j.progress.EndedAt = state, s.wall
 	s.guaranteesValid = false
 	s.dropAdvice(j)
+	j.work, j.observed, j.room = nil, nil, nil
 	s.markDirty(j)
 	s.log("job ended", slog.String("id", j.id), slog.String("state", string(state)), slog.String("why", why),
 		slog.Int64("ageMs", s.now-j.acceptedAt), slog.Int64("spareMs", j.deadline-s.now))
--- a/internal/scheduling/coordinator/pace.go
+++ b/internal/scheduling/coordinator/pace.go
@@ -38,7 +38,7 @@
 // observeProgress learns from the progress that a worker reported of an attempt at the time at.
 func (s *State) observeProgress(a *attempt, percent int, at int64) {
 	step := a.spec()
-	if step.LongRunning || step.BestEffortCPU || a.orphan {
+	if step.LongRunning || step.BestEffortCPU || a.orphan || a.task() == nil || a.job.progress.State.Ended() {
 		return
 	}
 	if a.segmentAt == 0 || percent < a.segmentPercent {
@@ -92,6 +92,15 @@
 	return w
 }
 
+// forgetOccurrence drops what is known of the steps of an occurrence that is done.
+func (j *job) forgetOccurrence(k int) {
+	for step := range j.spec.Steps {
+		id := stepID(j, k, step)
+		delete(j.work, id)
+		delete(j.room, id)
+	}
+}
+
 // remoteFactor returns the factor by which an attempt takes longer away from its data or the
 // other members of its gang.
 func (s *State) remoteFactor(a *attempt) float64 {
