precedence: a backlog refuses no job that could not meet its objective in an idle queue either

Cause: on a route without an objective, and for a job whose steps take more than three times its objective, every submission was refused while the queue had a backlog, with a retry-after that led to the next refusal, although the wait makes no difference to such a job.

Change: Admit refuses only what an idle queue would serve in time.

--- a/internal/scheduling/precedence/admission.go
+++ b/internal/scheduling/precedence/admission.go
@@ -8,13 +8,14 @@
 
 // Admit decides whether a job may wait in a queue. wait is how long the queue's jobs wait at present,
 // path the run time of the job's longest chain of steps, and objective the time within which it should
-// end, all in milliseconds. If the job could not end while that is of use, it is turned away, and
-// retryAfter is how long the queue needs to drain until it could.
+// end, all in milliseconds. If the job could not end while that is of use, but could in an idle queue,
+// it is turned away, and retryAfter is how long the queue needs to drain until it could.
 func Admit(wait, path, objective int64) (retryAfter int64, ok bool) {
-	if path <= 0 || wait+path <= UsefulTime*objective {
+	useful := UsefulTime * objective
+	if path <= 0 || path > useful || wait+path <= useful {
 		return 0, true
 	}
-	return wait + path - UsefulTime*objective, false
+	return wait + path - useful, false
 }
 
 // Drain estimates how long jobs wait in a queue from how fast it drains. The zero value is an idle
--- a/internal/scheduling/precedence/admission_test.go
+++ b/internal/scheduling/precedence/admission_test.go
@@ -17,6 +17,10 @@
 		{43_000, 5000, 16_000, 0, true},
 		{60_000, 5000, 16_000, 17_000, false},
 		{600_000, 0, 500, 0, true},
+		// Without an objective, or with one that the job can't meet in an idle queue either, waiting
+		// for the queue to drain would not help.
+		{60_000, 5000, 0, 0, true},
+		{60_000, 5000, 1600, 0, true},
 	} {
 		retryAfter, ok := Admit(c.wait, c.path, c.objective)
 		assert.Equal(t, c.ok, ok, "%+v", c)
