coordinator: records of paces include workers that are absent for a short time

Cause: a part of the paces was recorded with the listed workers only. The pace of one whose entry was missing at that moment, as right after a takeover, was gone from the record, and the next coordinator took the worker for a typical one.

Result: TestPacesOfAbsentWorkersAreRecorded was red before (class 0 instead of 4) and passes; go test ./internal/scheduling/coordinator passes.

--- a/internal/scheduling/coordinator/pace.go
+++ b/internal/scheduling/coordinator/pace.go
@@ -227,14 +227,15 @@
 	}
 }
 
-// recordPacePart adds the paces of a part of the workers to a batch.
+// recordPacePart adds the paces of a part of the workers to a batch, including those of workers that are
+// absent from the directory and not forgotten yet.
 func (s *State) recordPacePart(r *Record, part int) {
 	s.changedParts[part], s.lastPacePart, s.paceRecordedAt = false, part, s.now
 	paces := make(jobstate.Paces)
 	slower, faster := 0, 0
 	for _, w := range s.workers {
 		b, ok := w.pace.Encode()
-		if !ok || !w.listed || pacePart(w.ID) != part {
+		if !ok || pacePart(w.ID) != part {
 			continue
 		}
 		paces[w.ID], w.recordedPaceClass = b, w.pace.Class()
--- a/internal/scheduling/coordinator/work_test.go
+++ b/internal/scheduling/coordinator/work_test.go
@@ -4,8 +4,11 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
+	"github.com/limpetrelay/limpetrelay/internal/scheduling/estimate"
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobspec"
+	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobstate"
 )
 
 // Guards against what is learned of a job's steps staying in memory: for each of up to 100,000
@@ -31,3 +34,19 @@
 	assert.Empty(t, j.work, "the job has ended, and its last run is being stopped")
 	assert.Empty(t, j.room)
 }
+
+// Guards against a record of paces that lacks the workers which are not in the directory at the time: the
+// next coordinator would not know their paces, although they return after a short absence.
+func TestPacesOfAbsentWorkersAreRecorded(t *testing.T) {
+	s := &State{workers: make(map[string]*worker), RecordedPaces: jobstate.Paces{"w": {32, 64}}}
+	w := s.workerFor("w")
+	assert.Positive(t, w.pace.Class())
+	var r Record
+	s.recordPacePart(&r, pacePart("w"))
+	next := make(jobstate.Paces)
+	for _, d := range r.Details {
+		require.NoError(t, next.Apply(d))
+	}
+	p := estimate.DecodePace(next["w"])
+	assert.Equal(t, w.pace.Class(), p.Class())
+}
