coordinator: a restored gang on several racks is known to be spread

Cause: whether a gang is spread was noted when it was placed and not restored after a takeover. Its run times, RemoteFactor times as long, then counted for its step and its queue, and the ends of its runs were expected too early.

Change: it is noted for restored gangs once the directory names the racks of their members.

Result: TestSpreadGangIsKnownAfterATakeover was red before (factor 1 instead of 3) and passes; go test ./internal/scheduling/coordinator passes.

--- a/internal/scheduling/coordinator/attempt.go
+++ b/internal/scheduling/coordinator/attempt.go
@@ -46,8 +46,10 @@
 	// aborted is set once the unit cannot complete any more, as when a member has ended
 	// without success. failureCounted is set once the run has been counted as failed.
 	aborted, failureCounted bool
-	// spread is set if the unit runs on several racks although its step wants one.
+	// spread is set if the unit runs on several racks although its step wants one. rack is the rack of
+	// a member of a restored unit; empty while none is known.
 	spread bool
+	rack   string
 	// remaining is the estimated remaining run time of a gang as of remainingAt; see remainingTime.
 	remaining, remainingAt int64
 }
--- a/internal/scheduling/coordinator/pace.go
+++ b/internal/scheduling/coordinator/pace.go
@@ -110,6 +110,17 @@
 	return 1
 }
 
+// noteRack sets spread for a unit that was restored before the racks of its members were known.
+func (u *unit) noteRack(rack string) {
+	switch {
+	case rack == "" || !u.spec().Gang || !u.spec().SameRack:
+	case u.rack == "":
+		u.rack = rack
+	case u.rack != rack:
+		u.spread = true
+	}
+}
+
 // remainingTime returns the estimated remaining run time of an attempt, in milliseconds. That of a
 // member of a gang is that of its slowest member.
 func (s *State) remainingTime(a *attempt) int64 {
--- a/internal/scheduling/coordinator/state.go
+++ b/internal/scheduling/coordinator/state.go
@@ -385,6 +385,7 @@
 		a := s.newAttempt(u, i, s.workerFor(t.Worker))
 		a.phase = phaseUnconfirmed
 		a.lifetime = t.Lifetime
+		u.noteRack(a.w.rack)
 	}
 	if u != nil && ended && j.spec.Steps[step].Gang {
 		s.abortUnit(u, "members of its gang have ended")
--- a/internal/scheduling/coordinator/work_test.go
+++ b/internal/scheduling/coordinator/work_test.go
@@ -9,6 +9,7 @@
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/estimate"
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobspec"
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobstate"
+	"github.com/limpetrelay/limpetrelay/internal/scheduling/placement"
 )
 
 // Guards against what is learned of a job's steps staying in memory: for each of up to 100,000
@@ -50,3 +51,27 @@
 	p := estimate.DecodePace(next["w"])
 	assert.Equal(t, w.pace.Class(), p.Class())
 }
+
+// Guards against a new coordinator that takes the slow progress of a gang on several racks for that of a
+// long job or of slow workers: the racks are known only once the workers are listed.
+func TestSpreadGangIsKnownAfterATakeover(t *testing.T) {
+	for _, racks := range [][]string{{"r1", "r1", "r2"}, {"r1", "r1", "r1"}} {
+		s := &State{workers: make(map[string]*worker), Settings: Settings{RemoteFactor: 3}}
+		j := &job{id: "j", spec: &jobspec.Spec{Steps: []jobspec.Step{{Tasks: 3, Gang: true, SameRack: true}}}, progress: new(jobspec.Progress)}
+		var tasks []jobspec.Task
+		for _, id := range []string{"w0", "w1", "w2"} {
+			tasks = append(tasks, jobspec.Task{Phase: jobspec.Placed, Run: 1, Worker: id, Lifetime: 1})
+		}
+		s.restoreAttempts(j, 0, 0, tasks)
+		for i, rack := range racks {
+			s.workerListed(&placement.Listing{ID: tasks[i].Worker, Lifetime: 1, Labels: []string{rack}})
+		}
+		want := 1.0
+		if racks[2] != racks[0] {
+			want = 3
+		}
+		for a := range j.attempts {
+			assert.InDelta(t, want, s.remoteFactor(a), 0, "%v, on %s", racks, a.w.ID)
+		}
+	}
+}
--- a/internal/scheduling/coordinator/worker.go
+++ b/internal/scheduling/coordinator/worker.go
@@ -143,6 +143,9 @@
 	s.updateEvacuation(w)
 	if n := len(l.Labels); n > 0 {
 		w.rack = l.Labels[n-1]
+		for _, a := range w.attempts {
+			a.noteRack(w.rack)
+		}
 	}
 	if l.Lifetime != w.currentLifetime {
 		// A poll to the last lifetime may wait for its timeout.
