coordinator: only jobs that waited count as begun from their queue

Cause: the first placement in a term counted for the drain of its route, also that of the next step of a job which had begun under the last coordinator, and of periodic jobs, which do not count as waiting. After a takeover the told wait of a backlog was too short.

Change: a job counts as begun by the rule by which it counts as waiting.

Result: TestOnlyWaitingJobsBegin was red before and passes; go test ./internal/scheduling/coordinator passes.

--- a/internal/scheduling/coordinator/backlog.go
+++ b/internal/scheduling/coordinator/backlog.go
@@ -29,7 +29,7 @@
 	computedAt int64
 }
 
-// noteBegun records that the first task of a job of a route was placed.
+// noteBegun records that a waiting job of a route has begun, as its first task was placed.
 func (b *backlogs) noteBegun(route string, now int64) {
 	if b.drains == nil {
 		b.drains = make(map[string]*precedence.Drain)
@@ -74,11 +74,17 @@
 	since int64
 }
 
+// waitsInQueue reports whether a job counts for the backlog of its route: it has not begun, is neither
+// urgent nor periodic, and no task of it was placed in this term.
+func (j *job) waitsInQueue() bool {
+	return j.progress.State == jobspec.Queued && !j.placed && j.spec.Priority > 0 && j.spec.Occurrences == 0
+}
+
 // waitingJobs returns the jobs that wait, by route.
 func (s *State) waitingJobs() map[string]waitingQueue {
 	waiting := make(map[string]waitingQueue)
 	for _, j := range s.jobs {
-		if j.progress.State != jobspec.Queued || j.placed || j.spec.Priority <= 0 || j.spec.Occurrences > 0 {
+		if !j.waitsInQueue() {
 			continue
 		}
 		q := waiting[j.spec.Route]
--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -671,7 +671,7 @@
 		}
 	}
 	s.firstPlaced = s.firstPlaced || !j.placed
-	if !j.placed {
+	if j.waitsInQueue() {
 		s.noteBegun(j.spec.Route, s.now)
 	}
 	j.placed = true
--- a/internal/scheduling/coordinator/work_test.go
+++ b/internal/scheduling/coordinator/work_test.go
@@ -75,3 +75,16 @@
 		}
 	}
 }
+
+// Guards against a wait that is too short after a takeover: the next steps of jobs that had begun under
+// the last coordinator, and occurrences of periodic jobs, do not show that their queue drains.
+func TestOnlyWaitingJobsBegin(t *testing.T) {
+	for want, p := range []jobspec.Progress{{State: jobspec.Running}, {State: jobspec.Queued}} {
+		s := &State{now: 5000, workers: make(map[string]*worker)}
+		p.Occurrences = jobspec.Occurrences{{{{}}}}
+		j := &job{id: "j", spec: &jobspec.Spec{Route: "r", Priority: 1, Steps: []jobspec.Step{{Tasks: 1}}}, progress: &p}
+		pool := &candidatePool{workers: []*worker{s.workerFor("w")}, candidates: make([]placement.Candidate, 1)}
+		s.commitPlacement(&request{job: j, indices: []int{0}}, pool, []int{0}, []int{0}, nil)
+		assert.Len(t, s.drains, want, "%+v", p)
+	}
+}
