estimate: numbers that are not finite are ignored

Cause: an infinite or undefined run time passed the check for positive numbers and made the work of the step, the worker's pace and the queue's quantiles infinite or undefined for good. The class for an infinite factor depended on the processor, and was the lowest on amd64.

Change: such run times and estimates are ignored, and classes are bounded before the conversion.

Result: TestNumbersThatAreNotFinite was red before and passes; go test ./internal/scheduling/estimate passes.

--- a/internal/scheduling/estimate/pace.go
+++ b/internal/scheduling/estimate/pace.go
@@ -59,10 +59,11 @@
 // SlowestClass returns the highest class whose workers take at most the given factor longer than a
 // typical one, from -MaxClass to MaxClass.
 func SlowestClass(factor float64) int {
-	if factor <= 0 {
+	if !(factor > 0) {
 		return -MaxClass
 	}
-	return max(-MaxClass, min(MaxClass, int(math.Floor(math.Log(factor)/classWidth))))
+	// Bounded before the conversion, which is not defined for infinity.
+	return int(math.Floor(max(-MaxClass, min(MaxClass, math.Log(factor)/classWidth))))
 }
 
 // Renew makes the pace count for less, since the worker's process has restarted and may be on
@@ -116,7 +117,7 @@
 // shown, near its data and its gang. p is the worker's pace, w the work of the task's step, and
 // last what the task contributed before. It returns the task's new contribution.
 func Observe(p *Pace, w *Work, last Sample, runTime float64) Sample {
-	if runTime <= 0 {
+	if !positive(runTime) {
 		return last
 	}
 	x := float32(math.Log(runTime))
@@ -129,6 +130,10 @@
 	return s
 }
 
+// positive reports whether x is finite and greater than 0, so that it has a logarithm. Any other number
+// would stay in a sum of logarithms for good.
+func positive(x float64) bool { return x > 0 && !math.IsInf(x, 1) }
+
 func (s Sample) sum() float32 { return s.log * s.weight }
 
 // Median returns the run time of a task at a typical worker, in milliseconds, and whether enough
--- a/internal/scheduling/estimate/pace_test.go
+++ b/internal/scheduling/estimate/pace_test.go
@@ -92,3 +92,26 @@
 	_, ok := (&Pace{}).Encode()
 	assert.False(t, ok, "nothing is known")
 }
+
+// Guards against a number that is not finite, which would stay in the estimates for good.
+func TestNumbersThatAreNotFinite(t *testing.T) {
+	var q Queue
+	var r RunTimes
+	var w Work
+	paces := make([]Pace, 8)
+	for i := range paces {
+		s := Observe(&paces[i], &w, Sample{}, 1000)
+		for _, odd := range []float64{math.Inf(1), math.NaN(), 0, -1} {
+			assert.Equal(t, s, Observe(&paces[i], &w, s, odd), odd)
+			r.Observe(q, 1000, odd)
+			r.Observe(q, odd, 1000)
+		}
+		r.Observe(q, 1000, 2000)
+		assert.InDelta(t, 1, paces[i].Factor(), 0)
+	}
+	median, _ := w.Median()
+	assert.InDelta(t, 1000, median, 1)
+	assert.InDelta(t, 2000, r.Quantile(q, 1000, 0.9), 1)
+	assert.Equal(t, MaxClass, SlowestClass(math.Inf(1)))
+	assert.Equal(t, -MaxClass, SlowestClass(math.NaN()), "no worker is known to be fast enough")
+}
--- a/internal/scheduling/estimate/runtime.go
+++ b/internal/scheduling/estimate/runtime.go
@@ -40,7 +40,7 @@
 // Observe records that a step that its caller estimated at the given time took runTime at a typical
 // worker, both in milliseconds.
 func (r *RunTimes) Observe(q Queue, estimated, runTime float64) {
-	if estimated <= 0 || runTime <= 0 {
+	if !positive(estimated) || !positive(runTime) {
 		return
 	}
 	r.clock++
