estimate: a queue's ratios are sorted once for each observation

Cause: each quantile copied and sorted the ratios of its queue. A pass asks for the quantile of each run that has not reported progress, which are thousands on 1,100 workers.

Change: the sorted ratios are kept until the next observation.

Result: TestQuantileDoesNotAllocate was red before (1 allocation) and passes.

--- a/internal/scheduling/estimate/runtime.go
+++ b/internal/scheduling/estimate/runtime.go
@@ -22,7 +22,7 @@
 
 const (
 	// ratioWindow is the number of newest steps of a queue that count, so that its distribution
-	// follows its jobs. It bounds a queue to about 256 bytes.
+	// follows its jobs. It bounds a queue to about 600 bytes.
 	ratioWindow = 32
 	// minRatios is the number of steps from which on a queue's distribution is used.
 	minRatios = 6
@@ -33,8 +33,22 @@
 // ratios holds the newest ratios of a queue, as logarithms.
 type ratios struct {
 	values [ratioWindow]float64
-	count  int
-	seen   int64
+	// sorted has values in order unless unsorted is set.
+	sorted   [ratioWindow]float64
+	unsorted bool
+	count    int
+	seen     int64
+}
+
+// inOrder returns the ratios in ascending order.
+func (d *ratios) inOrder() []float64 {
+	sorted := d.sorted[:min(d.count, ratioWindow)]
+	if d.unsorted {
+		copy(sorted, d.values[:])
+		slices.Sort(sorted)
+		d.unsorted = false
+	}
+	return sorted
 }
 
 // Observe records that a step that its caller estimated at the given time took runTime at a typical
@@ -56,7 +70,7 @@
 		r.queues[q] = d
 	}
 	d.values[d.count%ratioWindow] = math.Log(runTime / estimated)
-	d.count, d.seen = d.count+1, r.clock
+	d.count, d.seen, d.unsorted = d.count+1, r.clock, true
 }
 
 // dropOldest drops the queue that was observed longest ago.
@@ -79,7 +93,5 @@
 	if d == nil || d.count < minRatios {
 		return estimated
 	}
-	sorted := slices.Clone(d.values[:min(d.count, ratioWindow)])
-	slices.Sort(sorted)
-	return estimated * math.Exp(stat.Quantile(p, stat.Empirical, sorted, nil))
+	return estimated * math.Exp(stat.Quantile(p, stat.Empirical, d.inOrder(), nil))
 }
--- a/internal/scheduling/estimate/runtime_test.go
+++ b/internal/scheduling/estimate/runtime_test.go
@@ -40,3 +40,23 @@
 	}
 	assert.Len(t, r.queues, maxQueues)
 }
+
+// Guards against a quantile that sorts the queue's ratios for each run: a pass asks for that of thousands of
+// runs that have not reported progress.
+func TestQuantileDoesNotAllocate(t *testing.T) {
+	var r RunTimes
+	for i := range 2 * ratioWindow {
+		r.Observe(Queue{}, 1000, float64(1000+i%7))
+	}
+	assert.Zero(t, testing.AllocsPerRun(100, func() { r.Quantile(Queue{}, 1000, 0.5) }))
+}
+
+func BenchmarkQuantile(b *testing.B) {
+	var r RunTimes
+	for i := range 2 * ratioWindow {
+		r.Observe(Queue{}, 1000, float64(1000+i*7919%997))
+	}
+	for b.Loop() {
+		r.Quantile(Queue{}, 1000, 0.5)
+	}
+}
