coordinator: a preemption refused for its cost does not cover requests that may cost more

Cause: the refusals of a pass did not tell apart how much a preemption was allowed to cost. After one gang was refused fast workers since stopping others would have lost too much, a longer gang in the same pass, which may cost more, was not tried and was placed on slow workers.

Change: a refusal covers requests that may cost as much or less.

Result: TestRefusalForItsCostCoversNoDearerRequest was red before and passes; go test ./internal/scheduling/coordinator passes.

--- a/internal/scheduling/coordinator/refusal.go
+++ b/internal/scheduling/coordinator/refusal.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"math"
 	"slices"
 
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobspec"
@@ -20,6 +21,8 @@
 	rank int
 	// slowest is the highest pace class of the workers that were considered.
 	slowest int
+	// stopCost is the most that the preemption of others was allowed to cost, in core seconds.
+	stopCost float64
 	// reserved is set if reserved workers were excluded: those of reservations that end
 	// before until, except the request's own, which is nil for none.
 	reserved bool
@@ -45,8 +48,8 @@
 
 // covers reports whether f implies that q is impossible too.
 func (f *refusal) covers(q *refusal) bool {
-	return f.method == q.method && f.tasks <= q.tasks && f.rank <= q.rank && f.slowest >= q.slowest && (f.label == "" || f.label == q.label) &&
-		(!f.reserved || q.reserved && f.until <= q.until && (q.own == nil || q.own == f.own)) && f.need.Within(q.need)
+	return f.method == q.method && f.tasks <= q.tasks && f.rank <= q.rank && f.slowest >= q.slowest && f.stopCost >= q.stopCost &&
+		(f.label == "" || f.label == q.label) && (!f.reserved || q.reserved && f.until <= q.until && (q.own == nil || q.own == f.own)) && f.need.Within(q.need)
 }
 
 // refusal returns what r asks for when its tasks are placed by the given method.
@@ -57,7 +60,10 @@
 		f.reserved, f.until, f.own = true, pool.now+step.Estimate, pool.reservationOf(r)
 	}
 	if method == preemptRack || method == preemptSpread {
-		f.rank = r.rank
+		f.rank, f.stopCost = r.rank, r.maxStopCost
+		if f.stopCost == 0 {
+			f.stopCost = math.Inf(1)
+		}
 	}
 	return f
 }
--- a/internal/scheduling/coordinator/work_test.go
+++ b/internal/scheduling/coordinator/work_test.go
@@ -88,3 +88,20 @@
 		assert.Len(t, s.drains, want, "%+v", p)
 	}
 }
+
+// Guards against a gang that is refused fast workers because another gang, which may cost others less, was
+// refused them in the same pass.
+func TestRefusalForItsCostCoversNoDearerRequest(t *testing.T) {
+	j := &job{id: "j", spec: &jobspec.Spec{Steps: []jobspec.Step{{Tasks: 2, Gang: true}}}}
+	pool := new(candidatePool)
+	limited := func(cost float64) *request { return &request{job: j, limited: true, maxStopCost: cost} }
+	for _, method := range []placementMethod{preemptRack, preemptSpread} {
+		pool.refuse(limited(10), method, 2)
+		assert.True(t, pool.refused(limited(10), method, 2))
+		assert.True(t, pool.refused(limited(5), method, 2))
+		assert.False(t, pool.refused(limited(20), method, 2))
+		assert.False(t, pool.refused(limited(0), method, 2), "at any cost")
+	}
+	pool.refuse(limited(0), preemptRack, 2)
+	assert.True(t, pool.refused(limited(20), preemptRack, 2))
+}
