--- a/internal/scheduling/coordinator/attempt.go
+++ b/internal/scheduling/coordinator/attempt.go
@@ -46,8 +46,10 @@
 	// aborted is set once the unit cannot complete any more, as when a member has ended
 	// without success. failureCounted is set once the run has been counted as failed.
 	aborted, failureCounted bool
-	// spread is set if the unit runs on several racks although its step wants one.
+	// spread is set if the unit runs on several racks although its step wants one. rack is the rack of
+	// a member of a restored unit; empty while none is known.
 	spread bool
+	rack   string
 	// remaining is the estimated remaining run time of a gang as of remainingAt; see remainingTime.
 	remaining, remainingAt int64
 }
@@ -561,6 +563,7 @@
 	for k := range occurrences {
 		if occurrences[k] != nil && jobspec.OccurrenceDone(occurrences[k]) {
 			occurrences[k] = nil
+			j.forgetOccurrence(k)
 			s.markDirty(j)
 		}
 	}
@@ -580,6 +583,7 @@
 	j.progress.State, j.progress.EndedAt = state, s.wall
 	s.guaranteesValid = false
 	s.dropAdvice(j)
+	j.work, j.observed, j.room = nil, nil, nil
 	s.markDirty(j)
 	s.log("job ended", slog.String("id", j.id), slog.String("state", string(state)), slog.String("why", why),
 		slog.Int64("ageMs", s.now-j.acceptedAt), slog.Int64("spareMs", j.deadline-s.now))
--- a/internal/scheduling/coordinator/pace.go
+++ b/internal/scheduling/coordinator/pace.go
@@ -38,7 +38,7 @@
 // observeProgress learns from the progress that a worker reported of an attempt at the time at.
 func (s *State) observeProgress(a *attempt, percent int, at int64) {
 	step := a.spec()
-	if step.LongRunning || step.BestEffortCPU || a.orphan {
+	if step.LongRunning || step.BestEffortCPU || a.orphan || a.task() == nil || a.job.progress.State.Ended() {
 		return
 	}
 	if a.segmentAt == 0 || percent < a.segmentPercent {
@@ -92,6 +92,15 @@
 	return w
 }
 
+// forgetOccurrence drops what is known of the steps of an occurrence that is done.
+func (j *job) forgetOccurrence(k int) {
+	for step := range j.spec.Steps {
+		id := stepID(j, k, step)
+		delete(j.work, id)
+		delete(j.room, id)
+	}
+}
+
 // remoteFactor returns the factor by which an attempt takes longer away from its data or the
 // other members of its gang.
 func (s *State) remoteFactor(a *attempt) float64 {
@@ -101,6 +110,17 @@
 	return 1
 }
 
+// noteRack sets spread for a unit that was restored before the racks of its members were known.
+func (u *unit) noteRack(rack string) {
+	switch {
+	case rack == "" || !u.spec().Gang || !u.spec().SameRack:
+	case u.rack == "":
+		u.rack = rack
+	case u.rack != rack:
+		u.spread = true
+	}
+}
+
 // remainingTime returns the estimated remaining run time of an attempt, in milliseconds. That of a
 // member of a gang is that of its slowest member.
 func (s *State) remainingTime(a *attempt) int64 {
@@ -218,14 +238,15 @@
 	}
 }
 
-// recordPacePart adds the paces of a part of the workers to a batch.
+// recordPacePart adds the paces of a part of the workers to a batch, including those of workers that are
+// absent from the directory and not forgotten yet.
 func (s *State) recordPacePart(r *Record, part int) {
 	s.changedParts[part], s.lastPacePart, s.paceRecordedAt = false, part, s.now
 	paces := make(jobstate.Paces)
 	slower, faster := 0, 0
 	for _, w := range s.workers {
 		b, ok := w.pace.Encode()
-		if !ok || !w.listed || pacePart(w.ID) != part {
+		if !ok || pacePart(w.ID) != part {
 			continue
 		}
 		paces[w.ID], w.recordedPaceClass = b, w.pace.Class()
