coordinator: the placement attempts of an occurrence are dropped with it

Cause: the last placement attempt of each step stayed in memory for all occurrences of a periodic job, and for ended jobs until they were forgotten.

Change: they are dropped as what is known of the step's work is.

Result: the new assertions of TestWorkIsDroppedAtTheEnd were red before and pass; go test ./internal/scheduling/coordinator passes.

--- a/internal/scheduling/coordinator/attempt.go
+++ b/internal/scheduling/coordinator/attempt.go
@@ -583,7 +583,7 @@
 	j.progress.State, j.progress.EndedAt = state, s.wall
 	s.guaranteesValid = false
 	s.dropAdvice(j)
-	j.work, j.observed, j.room = nil, nil, nil
+	j.work, j.observed, j.room, j.placementAttempts = nil, nil, nil, nil
 	s.markDirty(j)
 	s.log("job ended", slog.String("id", j.id), slog.String("state", string(state)), slog.String("why", why),
 		slog.Int64("ageMs", s.now-j.acceptedAt), slog.Int64("spareMs", j.deadline-s.now))
--- a/internal/scheduling/coordinator/pace.go
+++ b/internal/scheduling/coordinator/pace.go
@@ -98,6 +98,7 @@
 		id := stepID(j, k, step)
 		delete(j.work, id)
 		delete(j.room, id)
+		delete(j.placementAttempts, id)
 	}
 }
 
--- a/internal/scheduling/coordinator/work_test.go
+++ b/internal/scheduling/coordinator/work_test.go
@@ -25,11 +25,13 @@
 		a.segmentAt = 1000
 		j.workOf(a.unit)
 	}
+	j.placementAttempts = map[jobspec.TaskID]placementAttempt{stepID(j, 0, 0): {}}
 	s.endJobIfDone(j)
 	assert.Len(t, j.work, 1, "one occurrence is done")
 	s.observeProgress(late, 50, 5000)
 	assert.Len(t, j.work, 1, "a duplicate still runs in the occurrence that is done")
 	j.room = map[jobspec.TaskID]roomSeen{stepID(j, 1, 0): {}}
+	assert.Empty(t, j.placementAttempts)
 	s.endJob(j, jobspec.Cancelled, "cancelled")
 	s.observeProgress(open, 50, 5000)
 	assert.Empty(t, j.work, "the job has ended, and its last run is being stopped")
