--- a/internal/scheduling/precedence/admission.go
+++ b/internal/scheduling/precedence/admission.go
@@ -52,7 +52,7 @@
 }
 
 // Wait returns how long a queue in which n jobs wait needs until all have begun; 0 if that can't be
-// told, since too few have begun or wait.
+// computed, since too few have begun or wait.
 func (d *Drain) Wait(now int64, n int) int64 {
 	d.decay(now)
 	if n < minQueue || d.rate*drainPeriod < minBegun || now-d.begunAt > drainPeriod {
@@ -64,7 +64,7 @@
 }
 
 const (
-	// minQueue is the number of waiting jobs from which on a queue's wait is told: a few jobs of
+	// minQueue is the number of waiting jobs from which on a queue's wait is reported: a few jobs of
 	// one caller are no backlog.
 	minQueue = 10
 	// minBegun is the number of jobs that must have begun within about drainPeriod for that.
