coordinator: the start of a gang is looked up once for a row of a list

Cause: until its first segment each row of a list scanned all members of its gang, where a row may cost O(1). Change: a row without progress is passed over, and the time at which all members had begun is kept.

--- a/internal/scheduling/coordinator/attempt.go
+++ b/internal/scheduling/coordinator/attempt.go
@@ -50,6 +50,9 @@
 	// a member of a restored unit; empty while none is known.
 	spread bool
 	rack   string
+	// begunAt is when all its attempts had begun, once begunKnown is set; see begun.
+	begunAt    int64
+	begunKnown bool
 	// remaining is the estimated remaining run time of a gang as of remainingAt; see remainingTime.
 	remaining, remainingAt int64
 }
--- a/internal/scheduling/coordinator/pace.go
+++ b/internal/scheduling/coordinator/pace.go
@@ -60,22 +60,40 @@
 // beginSegment begins the first segment: at the start of the unit if that is known, otherwise at
 // the first report that shows progress. A gang starts with its last member.
 func (a *attempt) beginSegment(percent int, at int64) {
+	if percent == 0 {
+		// A gang that waits for a member has not begun.
+		return
+	}
 	began := int64(0)
 	if a.segmentAt == 0 && a.sentAt != 0 {
-		for _, b := range a.attempts {
-			if b.startAnsweredAt == 0 || b.task() == nil || b.task().Checkpoint != "" {
-				began = 0
-				break
-			}
-			began = max(began, b.startAnsweredAt)
-		}
+		began = a.begun()
 	}
-	switch {
-	case began != 0 && began < at:
+	if began != 0 && began < at {
 		a.segmentAt, a.segmentPercent = began, 0
-	case percent > 0:
-		a.segmentAt, a.segmentPercent = at, percent
+		return
+	}
+	a.segmentAt, a.segmentPercent = at, percent
+}
+
+// begun returns when all attempts of a unit of this coordinator had begun, from the start of their
+// tasks on; 0 if that is not known. Once all have been answered it does not look at them again.
+func (u *unit) begun() int64 {
+	if u.begunKnown {
+		return u.begunAt
+	}
+	last := int64(0)
+	for _, b := range u.attempts {
+		if b.startAnsweredAt == 0 {
+			return 0
+		}
+		last = max(last, b.startAnsweredAt)
+	}
+	u.begunKnown = true
+	// The members of a gang have the same checkpoint.
+	if t := u.attempts[0].task(); t != nil && t.Checkpoint == "" {
+		u.begunAt = last
 	}
+	return u.begunAt
 }
 
 // workOf returns what is known of the work of a unit's step.
