soak: evacuations, uneven and cold workers, clients outside the limits, two organisations

TestSoak knew one data centre, workers of one pace and one organisation, and all of its clients kept the limits. Now the workers name three data centres and have paces of 0.6, 1 and 1.6; one or two data centres are evacuated at random, at times with cold workers, and beside requests that name no known data centre or cannot be read. No run may start there more than evacuate_ms after the request, without an allowance for hosts or the store. A fault makes a worker cold, at most twelve clients send endless headers and bodies that stop short of their end, the organisation guild competes with crew, and no process may end by itself.

--- a/internal/scheduling/simulation/workerpool.go
+++ b/internal/scheduling/simulation/workerpool.go
@@ -123,6 +123,27 @@
 	p.cluster.worker(id).draining = true
 }
 
+// Cool makes a worker cold for d.
+func (p *WorkerPool) Cool(id string, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cluster.worker(id).cool(d.Milliseconds())
+}
+
+// SetEvacuated notes that the request to evacuate a data centre is in force from now on, or no
+// longer. Starts later than the scenario's MaxEvacuationDelay after it are violations.
+func (p *WorkerPool) SetEvacuated(dataCentre string, inForce bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cluster.evacuatedAt == nil {
+		p.cluster.evacuatedAt = make(map[string]int64)
+	}
+	delete(p.cluster.evacuatedAt, dataCentre)
+	if inForce {
+		p.cluster.evacuatedAt[dataCentre] = time.Since(p.start).Milliseconds()
+	}
+}
+
 // Shown notes that a job was shown as completed.
 func (p *WorkerPool) Shown(id string) {
 	p.mu.Lock()
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -40,6 +40,8 @@
 	starts int
 	// restarting serialises restarts.
 	restarting sync.Mutex
+	// failed is set when a process has ended without a signal.
+	failed bool
 	// exited holds the exit error of the process once it has ended. Receivers put it
 	// back for the next one.
 	exited chan error
@@ -57,7 +59,10 @@
 	workerLog *os.File
 	store     *emulator.Store
 	hosts     []*host
-	keys      []string
+	// keys are those of the organisation crew, some of which are revoked.
+	keys []string
+	// settings are the settings of the hosts besides their names and addresses.
+	settings string
 
 	mu      sync.Mutex
 	version int
@@ -73,6 +78,10 @@
 
 func newCluster(t *testing.T, p simulation.Scenario, hosts int) *cluster {
 	c := &cluster{t: t, store: &emulator.Store{}, keys: []string{"key-a", "key-b", "key-c"}, revokedAt: make(map[string]time.Time)}
+	c.settings = hostSettings
+	if p.DataCentres > 0 {
+		c.settings += evacuationSettings
+	}
 	dir := t.TempDir()
 	c.logDir = dir
 	if logs := os.Getenv("SOAK_LOGS"); logs != "" {
@@ -175,8 +184,10 @@
 				"max_attempts": 4, "stretch_factor": 3, "slo_ms": 500, "timeout_ms": 3000},
 		},
 		"services": []map[string]any{{"name": "service", "rejects_overload": true}},
-		"tenants":  []map[string]any{{"name": "crew", "keys": keys, "guaranteed": 16}},
-		"limits":   map[string]any{"body_bytes": 65536},
+		"tenants": []map[string]any{
+			{"name": "crew", "keys": keys, "guaranteed": 16}, {"name": "guild", "keys": []string{rivalKey}, "guaranteed": 8},
+		},
+		"limits": map[string]any{"body_bytes": 65536},
 	}
 	b, err := json.Marshal(cfg)
 	require.NoError(c.t, err)
@@ -232,7 +243,7 @@
 		name: fmt.Sprint("front-", n), number: n, callersAddress: freeAddress(c.t, n), readyAddress: freeAddress(c.t, n), storeProxy: p,
 		settingsFile: filepath.Join(dir, fmt.Sprint("node", n, ".conf")),
 	}
-	require.NoError(c.t, h.writeSettings(h.name))
+	require.NoError(c.t, h.writeSettings(h.name, c.settings))
 	h.logFile, err = os.Create(filepath.Join(c.logDir, h.name+".log"))
 	require.NoError(c.t, err)
 	c.hosts = append(c.hosts, h)
@@ -246,28 +257,28 @@
 }
 
 // writeSettings writes the settings of the host as the machine of that name.
-func (h *host) writeSettings(name string) error {
+func (h *host) writeSettings(name, settings string) error {
 	text := fmt.Sprintf("node=%s\nzone=dc\nregion=r\nlisten_addrs.front=%s\nlisten_addrs.ready=%s\nplatform.address=%s\n",
-		name, h.callersAddress, h.readyAddress, h.storeProxy.address()) + hostSettings
+		name, h.callersAddress, h.readyAddress, h.storeProxy.address()) + settings
 	return os.WriteFile(h.settingsFile, []byte(text), 0o600)
 }
 
 // replace kills the process for good. After d a machine of another name takes its place at
 // other addresses.
-func (h *host) replace(t *testing.T, d time.Duration) {
+func (h *host) replace(c *cluster, d time.Duration) {
 	h.restarting.Lock()
 	defer h.restarting.Unlock()
 	h.stop(syscall.SIGKILL)
 	time.Sleep(d)
 	h.mu.Lock()
-	h.callersAddress, h.readyAddress = freeAddress(t, h.number), freeAddress(t, h.number)
-	err := h.writeSettings(fmt.Sprint(h.name, "-", h.starts))
+	h.callersAddress, h.readyAddress = freeAddress(c.t, h.number), freeAddress(c.t, h.number)
+	err := h.writeSettings(fmt.Sprint(h.name, "-", h.starts), c.settings)
 	h.mu.Unlock()
 	if err == nil {
 		err = h.start()
 	}
 	if err != nil {
-		t.Errorf("%s is not replaced: %v", h.name, err)
+		c.t.Errorf("%s is not replaced: %v", h.name, err)
 	}
 }
 
@@ -308,6 +319,7 @@
 // stop sends a signal to the process and waits for it to exit. Like the platform,
 // it kills the process after terminationGracePeriod.
 func (h *host) stop(s syscall.Signal) {
+	h.failed = h.failed || len(h.exited) > 0
 	h.signal(s)
 	select {
 	case err := <-h.exited:
--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -162,6 +162,9 @@
 		id: fmt.Sprintf("%04x%04x%08x", n, i, l.seed), prefix: "/batch/", key: l.cluster.keys[r.IntN(len(l.cluster.keys))],
 		alwaysFails: r.IntN(15) == 0,
 	}
+	if r.IntN(3) == 0 {
+		j.key = rivalKey
+	}
 	tasks, ms, gang := 1+r.IntN(6), 300+r.IntN(2500), r.IntN(2) == 0
 	if r.IntN(2) == 0 {
 		j.prefix = "/urgent/"
@@ -251,7 +254,9 @@
 		}
 	}
 	for _, j := range l.jobs {
-		j.key = validKey
+		if j.key != rivalKey {
+			j.key = validKey
+		}
 		if j.acceptedAt.IsZero() {
 			continue
 		}
--- a/soak/once_test.go
+++ b/soak/once_test.go
@@ -212,7 +212,7 @@
 	case 10, 11:
 		h.restart(syscall.SIGKILL, down)
 	case 12:
-		h.replace(c.t, down)
+		h.replace(c, down)
 	case 16:
 		// The coordinator reaches one half of the workers but not the store, and its successor
 		// the other half.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -77,7 +77,9 @@
 // and requires that workers and callers observed no violation.
 func runSeed(t *testing.T, seed uint64) {
 	r := rand.New(rand.NewPCG(seed, 3))
-	c := newCluster(t, simulation.Scenario{Seed: seed, Workers: *workersFlag}, *hostsFlag)
+	c := newCluster(t, simulation.Scenario{
+		Seed: seed, Workers: *workersFlag, RackSize: 4, DataCentres: dataCentres, Paces: []float64{0.6, 1, 1.6},
+	}, *hostsFlag)
 	for _, h := range c.hosts {
 		require.Eventually(t, h.isReady, 20*time.Second, 50*time.Millisecond, "%s did not become ready", h.name)
 	}
@@ -87,10 +89,12 @@
 	for i := range 6 {
 		wg.Go(func() { load.runClient(i, stop) })
 	}
+	wg.Go(func() { c.runEvacuations(seed, stop) })
+	wg.Go(func() { c.runOutsiders(seed, stop) })
 	var faults sync.WaitGroup
 	for end := time.Now().Add(*durationFlag); time.Now().Before(end); {
 		time.Sleep(time.Duration(200+r.IntN(1500)) * time.Millisecond)
-		kind, d := r.IntN(12), time.Duration(300+r.IntN(4000))*time.Millisecond
+		kind, d := r.IntN(13), time.Duration(300+r.IntN(4000))*time.Millisecond
 		h, m := c.hosts[r.IntN(len(c.hosts))], mode(1+r.IntN(int(modeCount)-1))
 		id := c.workers.IDs()[r.IntN(*workersFlag)]
 		key := c.keys[r.IntN(len(c.keys))]
@@ -99,7 +103,11 @@
 	faults.Wait()
 	close(stop)
 	wg.Wait()
+	load.requireAnswers()
 	load.settle()
+	for _, h := range c.hosts {
+		require.False(t, h.failed || len(h.exited) > 0, "a process of %s ended by itself", h.name)
+	}
 	require.Empty(t, c.workers.Violations(), "violations observed by workers")
 	require.Empty(t, load.reportedViolations(), "violations observed by callers")
 	load.logSummary()
@@ -107,7 +115,7 @@
 
 // injectFault injects one fault and ends it after d: a restart by SIGKILL (0, 1) or
 // SIGTERM (2, down for d/4), a stopped process (3), a fault of the network to the
-// store (4-6), of the store (7, 8, 11) or of a worker (9). Kind 10 revokes a key for
+// store (4-6), of the store (7, 8, 11) or of a worker (9, 12). Kind 10 revokes a key for
 // good.
 func (c *cluster) injectFault(kind int, d time.Duration, h *host, m mode, worker, key string) {
 	switch kind {
@@ -140,6 +148,8 @@
 		c.store.SetDelay(100 * time.Millisecond)
 		time.Sleep(d)
 		c.store.SetDelay(0)
+	case 12:
+		c.workers.Cool(worker, 2*d)
 	}
 }
 
--- a/standin/emulator/workers.go
+++ b/standin/emulator/workers.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"time"
@@ -137,11 +138,14 @@
 		state = "draining"
 	}
 	entry := map[string]any{
-		"service": l.Service, "address": l.Address, "zone": "dc", "state": state, "labels": l.Labels, "born": l.Lifetime,
+		"service": l.Service, "address": l.Address, "zone": cmp.Or(l.DataCentre, "dc"), "state": state, "labels": l.Labels, "born": l.Lifetime,
 		"sequence": sequence, "free_capacity": map[string]int64{
 			"cpu": l.Capacity.Cores, "mem_mb": l.Capacity.Memory, "gpu": l.Capacity.Accelerators,
 		},
 	}
+	if l.ColdLeft > 0 {
+		entry["cold_left_ms"] = l.ColdLeft
+	}
 	if l.Draining {
 		entry["remaining_ms"] = l.Remaining
 	}
