frontend: a status query waits for a quarter of its caller's timeout at most

Cause: a caller that states a timeout below 250 ms would have had its answer too late. Change: the wait is bounded by it. Measured: TestStatusQueryWaitsForTheEnd.

--- a/internal/host/frontend/serve.go
+++ b/internal/host/frontend/serve.go
@@ -89,7 +89,7 @@
 	case Cancel:
 		return h.cancel(ctx, req, org, id), org, id
 	default:
-		return h.jobStatus(ctx, org, id), org, id
+		return h.jobStatus(ctx, req.Timeout, org, id), org, id
 	}
 }
 
@@ -112,11 +112,13 @@
 	return *job, true, fresh
 }
 
-// jobStatus answers a query for a job.
-func (h *Host) jobStatus(ctx context.Context, org, id string) Response {
+// jobStatus answers a query for a job. timeout is how long the caller waits; 0 if it did not say.
+func (h *Host) jobStatus(ctx context.Context, timeout time.Duration, org, id string) Response {
 	j, found, fresh := h.findJob(org, id)
 	switch {
 	case found && !j.State().Ended():
+		ctx, cancel := context.WithTimeout(ctx, statusWaitFor(timeout))
+		defer cancel()
 		j = h.awaitEnd(ctx, org, id, j)
 		return Response{Outcome: StateReported, State: j.State()}
 	case found:
--- a/internal/host/frontend/statuswait.go
+++ b/internal/host/frontend/statuswait.go
@@ -40,7 +40,16 @@
 	}
 }
 
-// awaitEnd waits up to statusWait for the end of an open job, unless the host is shutting down, and
+// statusWaitFor returns how long a query waits whose caller waits for the given time; 0 if the caller
+// did not say. Most of that time is left for the way of the answer.
+func statusWaitFor(timeout time.Duration) time.Duration {
+	if timeout <= 0 {
+		return statusWait
+	}
+	return min(statusWait, timeout/4)
+}
+
+// awaitEnd waits for the end of an open job until ctx ends, unless the host is shutting down, and
 // returns the job as it is then. j is the job as it was found before.
 func (h *Host) awaitEnd(ctx context.Context, org, id string, j jobstate.Job) jobstate.Job {
 	if h.draining.Load() {
@@ -54,11 +63,8 @@
 	}
 	ended := h.endWaiters.wait(id)
 	h.mu.Unlock()
-	t := time.NewTimer(statusWait)
-	defer t.Stop()
 	select {
 	case <-ended:
-	case <-t.C:
 	case <-ctx.Done():
 	}
 	return h.jobOr(org, id, j)
--- a/internal/host/frontend/statuswait_test.go
+++ b/internal/host/frontend/statuswait_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -32,7 +33,7 @@
 	require.NoError(t, err)
 	applyRecords(t, h, 0, accepted)
 	answer := make(chan Response, 1)
-	go func() { answer <- h.jobStatus(context.Background(), "crew", "job") }()
+	go func() { answer <- h.jobStatus(context.Background(), 0, "crew", "job") }()
 	require.Eventually(t, func() bool {
 		h.mu.Lock()
 		defer h.mu.Unlock()
@@ -44,7 +45,7 @@
 	assert.Equal(t, jobspec.Completed, (<-answer).State)
 	assert.Empty(t, h.endWaiters)
 
-	assert.Equal(t, jobspec.Completed, h.jobStatus(context.Background(), "crew", "job").State)
+	assert.Equal(t, jobspec.Completed, h.jobStatus(context.Background(), 0, "crew", "job").State)
 	assert.Empty(t, h.endWaiters, "a query for an ended job does not wait")
 
 	s.ID = "open"
@@ -53,7 +54,9 @@
 	applyRecords(t, h, 5, accepted)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	assert.Equal(t, jobspec.Queued, h.jobStatus(ctx, "crew", "open").State, "the caller has left")
+	assert.Equal(t, jobspec.Queued, h.jobStatus(ctx, 0, "crew", "open").State, "the caller has left")
 	h.Drain()
-	assert.Equal(t, jobspec.Queued, h.jobStatus(context.Background(), "crew", "open").State, "the host shuts down")
+	assert.Equal(t, jobspec.Queued, h.jobStatus(context.Background(), 0, "crew", "open").State, "the host shuts down")
+	assert.Equal(t, statusWait, statusWaitFor(3*time.Second))
+	assert.Equal(t, 25*time.Millisecond, statusWaitFor(100*time.Millisecond), "the caller waits for less")
 }
