--- a/internal/host/frontend/serve.go
+++ b/internal/host/frontend/serve.go
@@ -166,7 +166,8 @@
 	s.ID, s.Route, s.Organisation, s.Service = id, route.Name, org, route.Service
 	s.Priority, s.MaxAttempts, s.Stretch, s.Slack = route.Priority, route.MaxAttempts, route.Stretch, route.Slack
 	s.AcceptedAt = h.Wall().UnixMilli()
-	if j, found, _ := h.findJob(org, id); found {
+	j, found, fresh := h.findJob(org, id)
+	if found {
 		same, err := j.Spec.SameRequest(&s)
 		if err != nil {
 			return Response{Outcome: Malformed, Message: err.Error()}
@@ -179,8 +180,11 @@
 	if resp, down := h.refuseIfStoreDown(); down {
 		return resp
 	}
-	if resp, refused := h.refuseIfTooLate(&s); refused {
-		return resp
+	if fresh {
+		// Another host may have accepted the job since the copy was read; a refusal would be untrue.
+		if resp, refused := h.refuseIfTooLate(&s); refused {
+			return resp
+		}
 	}
 	rec, err := jobstate.AcceptedRecord(&s)
 	if err != nil {
