--- a/internal/host/frontend/serve.go
+++ b/internal/host/frontend/serve.go
@@ -181,7 +181,8 @@
 		return resp
 	}
 	if fresh {
-		// Another host may have accepted the job since the copy was read; a refusal would be untrue.
+		// In an older copy the acceptance of the job by another host may be missing, and the refusal
+		// would be untrue.
 		if resp, refused := h.refuseIfTooLate(&s); refused {
 			return resp
 		}
