coordinator: the wait of a request counts from its first attempt

Cause: it counted from the acceptance of the job, so that an occurrence of a periodic job, or a later step of a long one, went before all other work that is not urgent as soon as it was due. Change: the time of the first attempt to place a step is kept beside that of the last. Measured: TestOnlyWhatWaitsIsOverdue was red before; the tests of the package pass.

--- a/internal/scheduling/coordinator/contention.go
+++ b/internal/scheduling/coordinator/contention.go
@@ -40,7 +40,7 @@
 		if r.rank < rankNonUrgent {
 			continue
 		}
-		if s.age(r) > precedence.MaxWait {
+		if last, ok := r.placementAttempts[stepID(r.job, r.occurrence, r.step)]; ok && s.now-last.since > precedence.MaxWait {
 			p.Rank, p.Overdue = rankNonUrgent, true
 		}
 		key := [2]string{r.spec.Service, r.spec.Organisation}
--- a/internal/scheduling/coordinator/plan.go
+++ b/internal/scheduling/coordinator/plan.go
@@ -130,10 +130,10 @@
 // on the pass is logged.
 const longPass = 100_000
 
-// placementAttempt is an attempt to place the waiting tasks of a step: its time and the
-// value of State.capacityGains then.
+// placementAttempt is the last attempt to place the waiting tasks of a step: its time, the value of
+// State.capacityGains then, and the time of the first attempt.
 type placementAttempt struct {
-	at, capacityGains int64
+	at, capacityGains, since int64
 }
 
 // placementRetryInterval is the time after which a placement attempt is repeated even
@@ -150,7 +150,12 @@
 	if r.placementAttempts == nil {
 		r.placementAttempts = make(map[jobspec.TaskID]placementAttempt)
 	}
-	r.placementAttempts[stepID(r.job, r.occurrence, r.step)] = placementAttempt{at: s.now, capacityGains: s.capacityGains}
+	step := stepID(r.job, r.occurrence, r.step)
+	since := s.now
+	if last, ok := r.placementAttempts[step]; ok {
+		since = last.since
+	}
+	r.placementAttempts[step] = placementAttempt{at: s.now, capacityGains: s.capacityGains, since: since}
 }
 
 // skipRetry reports whether a placement attempt for r is not worthwhile yet: within
