--- a/internal/host/frontend/leader.go
+++ b/internal/host/frontend/leader.go
@@ -36,6 +36,11 @@
 	// coordinator only if no other host does.
 	requiredCoreShare = 0.4
 	smallHostDelay    = 3000
+	// requiredLinkRate is the rate of a link, in bytes a second, that leaves room beside coordinating a
+	// thousand workers, which takes 1.7 MB/s. thinLinkDelay is the additional claim delay of a host without
+	// any, in milliseconds, scaled by the missing part: a coordinator on a thin link holds back its orders.
+	requiredLinkRate = 6_250_000
+	thinLinkDelay    = 300
 	// callsPerCore is the number of calls to workers and the store that a coordinator makes
 	// with one second of a core, scheduling and log lines included.
 	callsPerCore = 3700
@@ -98,14 +103,18 @@
 }
 
 // claimDelay returns how long this host waits before it claims a free role, in
-// milliseconds. The host that is best suited, by core share and round trip to the
+// milliseconds. The host that is best suited, by core share, link and round trip to the
 // store, waits least.
 func (h *Host) claimDelay() int64 {
 	f := fnv.New32a()
 	f.Write([]byte(h.Name()))
 	spread := int64(f.Sum32() % claimSpread)
 	missing := max(0, 1-h.CoreShare/requiredCoreShare)
-	return spread + 3*h.roundTrip.Load() + int64(missing*smallHostDelay)
+	thin := 0.0
+	if h.LinkRate > 0 {
+		thin = max(0, 1-h.LinkRate/requiredLinkRate)
+	}
+	return spread + 3*h.roundTrip.Load() + int64(missing*smallHostDelay) + int64(thin*thinLinkDelay)
 }
 
 // claim writes a claim on the condition that the jobs partition still ends at offset
