crowd: clients of `limpetrelay serve` that exceed the limits

Cause: only the clients of `limpetrelay front` are bounded. Clients of `limpetrelay serve` take its process out of memory, at both addresses. Change: the harness of a process is separate from what the two commands need, and TestServe plays 18 crowds against serve, each apart.

--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -85,7 +85,12 @@
 // sendBody sends a request whose body has the given parts. Only every eighth client sends the
 // last part and reads the response.
 func sendBody(c net.Conn, i int, header string, parts ...string) {
-	if !write(c, requestLine+header+"\r\n") {
+	sendParts(c, i, requestLine+header, parts...)
+}
+
+// sendParts is sendBody with the whole header except for its last line.
+func sendParts(c net.Conn, i int, header string, parts ...string) {
+	if !write(c, header+"\r\n") {
 		return
 	}
 	for _, p := range parts[:len(parts)-1] {
@@ -164,7 +169,6 @@
 func TestLargeChunks(t *testing.T) {
 	h := startHost(t, descriptors)
 	text := largestBody()
-	chunk := func(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
 	half := len(text) / 2
 	run(h, 1000, h.callers, func(c net.Conn, i int) {
 		sendBody(c, i, "Transfer-Encoding: chunked\r\n", chunk(text[:half]), chunk(text[half:]), "0\r\n\r\n")
--- a/crowd/host_test.go
+++ b/crowd/host_test.go
@@ -1,13 +1,11 @@
-// Package crowd runs an entry host as a real process and sends it requests from many
+// Package crowd runs entry hosts as real processes and sends them requests from many
 // clients that exceed the limits.
 package crowd
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -23,7 +21,6 @@
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobspec"
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/simulation"
 	"github.com/limpetrelay/limpetrelay/platform"
-	"github.com/limpetrelay/limpetrelay/standin/emulator"
 )
 
 // binary is the path of the program that TestMain builds.
@@ -48,70 +45,58 @@
 	memoryMB = 128
 	// reservedDescriptors is the part of limits.max_fds that is reserved for files.
 	reservedDescriptors = 200
-	bodyBytes           = 262_144
-	headerBytes         = 16_384
-	jobBody             = `{"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":64,"est_ms":10}]}`
+	// hostName is the name that the requests state.
+	hostName = "crowd.example"
 )
 
-// host is an entry host with an emulated store and two workers.
+// host is an entry host that runs as a process.
 type host struct {
-	t                       *testing.T
-	callers, ready, metrics string
-	cmd                     *exec.Cmd
-	exited                  chan error
-	workers                 *simulation.WorkerPool
-	maxDescriptors          int
+	t *testing.T
+	// callers, ready, metrics and peers are the addresses on which it listens; empty if there is none.
+	callers, ready, metrics, peers string
+	readyPath                      string
+	cmd                            *exec.Cmd
+	exited                         chan error
+	// workers is nil for a host that runs `limpetrelay serve`.
+	workers                  *simulation.WorkerPool
+	memoryMB, maxDescriptors int
+	// submit submits an ordinary job and reports whether it was accepted.
+	submit func(id string) bool
+	// answersPeers reports whether an ordinary call of another host is answered; nil if none call it.
+	answersPeers func() bool
 	// mostOpenFiles is the largest number of descriptors seen.
 	mostOpenFiles atomic.Int64
 }
 
-func startHost(t *testing.T, maxDescriptors int) *host {
-	h := &host{t: t, maxDescriptors: maxDescriptors, exited: make(chan error, 1)}
-	h.workers = simulation.NewWorkerPool(simulation.Scenario{Seed: 1, Workers: 2})
-	s := &emulator.Store{}
-	server := httptest.NewServer(s.Handler())
-	t.Cleanup(server.Close)
-	configuration, err := json.Marshal(map[string]any{
-		"version": 1, "services": []map[string]any{{"name": "service", "rejects_overload": true}},
-		"routes": []map[string]any{{"name": "batch", "host": "crowd.example", "path_prefix": "/batch/", "service": "service",
-			"priority": 2, "max_attempts": 4, "stretch_factor": 3, "slo_ms": 500, "timeout_ms": 3000}},
-		"tenants": []map[string]any{{"name": "crew", "keys": []string{"key-a"}, "guaranteed": 1}},
-		"limits":  map[string]any{"header_bytes": headerBytes, "body_bytes": bodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15_000},
-	})
-	require.NoError(t, err)
-	s.Put(platform.TopicConfiguration, platform.KeyConfiguration, configuration)
-	h.runEvery(5*time.Millisecond, h.workers.Advance)
-	for _, id := range h.workers.IDs() {
-		l := emulator.NewLink(h.workers, id, 1, nil)
-		t.Cleanup(l.Close)
-		h.runEvery(1500*time.Millisecond, func() { _ = l.Heartbeat(s) })
-	}
-	// The port of the metrics is fixed, therefore each process has a loopback address of its own.
-	ip := fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()%250, os.Getpid()/250%250)
-	h.callers, h.ready, h.metrics = freeAddress(t, ip), freeAddress(t, ip), net.JoinHostPort(ip, "9464")
-	dir := t.TempDir()
-	settings := filepath.Join(dir, "node.conf")
-	require.NoError(t, os.WriteFile(settings, fmt.Appendf(nil,
-		"node=front-0\nzone=dc\nregion=r\nlisten_addrs.front=%s\nlisten_addrs.ready=%s\nip=%s\nplatform.address=%s\nlimits.memory_mb=%d\nlimits.max_fds=%d\n",
-		h.callers, h.ready, ip, server.Listener.Addr(), memoryMB, maxDescriptors), 0o600))
-	log, err := os.Create(filepath.Join(dir, "front.log"))
-	require.NoError(t, err)
-	h.cmd = exec.Command(binary, "front", "--settings", settings)
+// loopbackIP returns the address of the n-th host. The port of the metrics is fixed, therefore
+// each host of each process has an address of its own.
+func loopbackIP(n int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, os.Getpid()/250%250, n)
+}
+
+// start starts the process and waits until it is ready.
+func (h *host) start(settings string, args ...string) {
+	dir := h.t.TempDir()
+	file := filepath.Join(dir, "settings")
+	require.NoError(h.t, os.WriteFile(file, []byte(settings), 0o600))
+	log, err := os.Create(filepath.Join(dir, "log"))
+	require.NoError(h.t, err)
+	h.exited = make(chan error, 1)
+	h.cmd = exec.Command(binary, append(args, "--settings", file)...)
 	h.cmd.Stdout, h.cmd.Stderr = log, log
-	require.NoError(t, h.cmd.Start())
+	require.NoError(h.t, h.cmd.Start())
 	go func() { h.exited <- h.cmd.Wait() }()
-	t.Cleanup(func() {
+	h.t.Cleanup(func() {
 		_ = h.cmd.Process.Kill()
-		t.Log("the process has ended:", <-h.exited)
+		h.t.Log("the process has ended:", <-h.exited)
 		_ = log.Close()
 	})
-	require.Eventually(t, h.isReady, 20*time.Second, 50*time.Millisecond, "the host did not become ready")
-	h.runEvery(20*time.Millisecond, h.countOpenFiles)
-	return h
+	require.Eventually(h.t, h.isReady, 20*time.Second, 50*time.Millisecond, "the host did not become ready")
+	runEvery(h.t, 20*time.Millisecond, h.countOpenFiles)
 }
 
 // runEvery calls do at once and then at interval d until the test ends.
-func (h *host) runEvery(d time.Duration, do func()) {
+func runEvery(t *testing.T, d time.Duration, do func()) {
 	stop, done := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(done)
@@ -124,7 +109,7 @@
 			}
 		}
 	}()
-	h.t.Cleanup(func() {
+	t.Cleanup(func() {
 		close(stop)
 		<-done
 	})
@@ -146,28 +131,32 @@
 }
 
 func (h *host) isReady() bool {
-	res, err := (&http.Client{Timeout: time.Second}).Get("http://" + h.ready + "/ready")
+	res, err := (&http.Client{Timeout: time.Second}).Get("http://" + h.ready + h.readyPath)
 	if err != nil {
 		return false
 	}
 	return res.Body.Close() == nil && res.StatusCode == http.StatusOK
 }
 
-// submit submits a job and reports whether it was accepted.
-func (h *host) submit(id string) bool {
-	req, err := http.NewRequest(http.MethodPost, "http://"+h.callers+"/batch/"+id, strings.NewReader(jobBody))
-	require.NoError(h.t, err)
-	req.Host = "crowd.example"
-	req.Header.Set("Credential", "key-a")
-	res, err := (&http.Client{Timeout: 5 * time.Second}).Do(req)
+// post sends a request and reports whether it was served.
+func post(url, body string, header http.Header) bool {
+	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
 	if err != nil {
 		return false
 	}
-	return res.Body.Close() == nil && res.StatusCode == http.StatusOK
+	req.Host, req.Header = hostName, header
+	res, err := (&http.Client{Timeout: 10 * time.Second}).Do(req)
+	if err != nil {
+		return false
+	}
+	return res.Body.Close() == nil && res.StatusCode < http.StatusBadRequest
 }
 
 // addJob makes a job known to the workers, which run its tasks for runTime milliseconds.
 func (h *host) addJob(id, text string, runTime int64) {
+	if h.workers == nil {
+		return
+	}
 	spec, err := platform.DecodeJob([]byte(text))
 	require.NoError(h.t, err)
 	spec.ID, spec.MaxAttempts = id, 4
@@ -181,6 +170,9 @@
 	h.addJob(id, jobBody, 10)
 	require.Eventually(h.t, func() bool { return h.submit(id) }, 20*time.Second, 100*time.Millisecond, "an ordinary request is not answered")
 	require.Eventually(h.t, h.isReady, 20*time.Second, 100*time.Millisecond, "the readiness check fails")
+	if h.answersPeers != nil {
+		require.Eventually(h.t, h.answersPeers, 20*time.Second, 100*time.Millisecond, "another host is not answered")
+	}
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.cmd.Process.Pid))
 	require.NoError(h.t, err)
 	m := regexp.MustCompile(`VmHWM:\s+(\d+) kB`).FindSubmatch(status)
@@ -189,6 +181,6 @@
 	require.NoError(h.t, err)
 	h.t.Logf("peak memory %d MB, %d open descriptors", peak>>10, h.mostOpenFiles.Load())
 	require.Empty(h.t, h.exited, "the process has exited")
-	require.Less(h.t, peak>>10, memoryMB, "resident memory in MB")
+	require.Less(h.t, peak>>10, h.memoryMB, "resident memory in MB")
 	require.Less(h.t, h.mostOpenFiles.Load(), int64(h.maxDescriptors-reservedDescriptors), "open descriptors")
 }
