httpserver: bodies, refusals and crowding for every server

Cause: only the handlers of `limpetrelay front` charge what a body takes, and refusals have no body, as the callers of `limpetrelay serve` are promised.

--- a/cmd/limpetrelay/clients.go
+++ b/cmd/limpetrelay/clients.go
@@ -26,7 +26,7 @@
 			IdleTimeout: time.Duration(l.IdleTimeout) * time.Millisecond,
 		}
 	}
-	b.Report = func(closed map[httpserver.Closed]int64) { reportClosed(h, closed) }
+	b.Report = httpserver.Reporter(h.Logger, &h.Metrics)
 	return b
 }
 
@@ -35,24 +35,6 @@
 	return []*httpserver.Pool{b.NewPool("callers", 1-2*probeShare), b.NewPool("ready", probeShare), b.NewPool("metrics", probeShare)}
 }
 
-// reportClosed counts the connections that were closed or refused and logs them. Idle ones
-// are only counted, since callers leave them behind in ordinary operation.
-func reportClosed(h *frontend.Host, closed map[httpserver.Closed]int64) {
-	var sum int64
-	var attrs []any
-	for c, n := range closed {
-		name := c.Pool + "." + string(c.Reason)
-		h.Metrics.Count("closedConnections", c.Pool, string(c.Reason), n)
-		if c.Reason != httpserver.IdleTimedOut {
-			sum += n
-			attrs = append(attrs, slog.Int64(name, n))
-		}
-	}
-	if sum > 0 {
-		h.Logger.Warn("connections closed", append(attrs, slog.Int64("count", sum))...)
-	}
-}
-
 // metricsHandler serves the metrics as JSON. They are collected for one request at a time,
 // since that takes several times the size of the answer.
 func metricsHandler(h *frontend.Host, b *httpserver.Budget) http.Handler {
--- a/internal/host/httpserver/budget.go
+++ b/internal/host/httpserver/budget.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"log/slog"
 	"math"
 	"sync/atomic"
 	"time"
+
+	"github.com/limpetrelay/limpetrelay/measure"
 )
 
 const (
@@ -145,3 +148,23 @@
 	}
 	return Limits{}.withDefaults()
 }
+
+// Reporter returns a function for Budget.Report. It counts the connections that were closed or
+// refused and logs them. Idle ones are only counted, since callers leave them behind in
+// ordinary operation.
+func Reporter(l *slog.Logger, m *measure.Metrics) func(map[Closed]int64) {
+	return func(closed map[Closed]int64) {
+		var sum int64
+		var attrs []any
+		for c, n := range closed {
+			m.Count("closedConnections", c.Pool, string(c.Reason), n)
+			if c.Reason != IdleTimedOut {
+				sum += n
+				attrs = append(attrs, slog.Int64(c.Pool+"."+string(c.Reason), n))
+			}
+		}
+		if sum > 0 {
+			l.Warn("connections closed", append(attrs, slog.Int64("count", sum))...)
+		}
+	}
+}
--- a/internal/host/httpserver/listener.go
+++ b/internal/host/httpserver/listener.go
@@ -91,7 +91,7 @@
 		if err == nil {
 			c := &conn{Conn: nc, listener: l, pool: l.pool, accepted: time.Now()}
 			if !c.pool.admit(c) {
-				reject(nc, Refused)
+				c.pool.reject(nc, Refused)
 				// The client can do nothing about the error.
 				_ = nc.Close()
 				continue
--- a/internal/host/httpserver/pool.go
+++ b/internal/host/httpserver/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"fmt"
 	"maps"
 	"net"
 	"net/http"
@@ -85,6 +86,10 @@
 
 // Pool is a part of a budget. A nil pool has no bounds.
 type Pool struct {
+	// Refusal returns the JSON body of the response to a request that is refused for a reason;
+	// nil for no body. It must be set before the server starts.
+	Refusal func(Reason) []byte
+
 	name               string
 	maxBytes, maxConns int64
 	limits             limitsPointer
@@ -96,6 +101,9 @@
 	// used is the sum of charged of conns, and closing the part of the closed ones.
 	used, closing int64
 	closingConns  int64
+	// handlingBytes is the part of used of the connections that are handled, and handlingConns
+	// their number.
+	handlingBytes, handlingConns int64
 	// closed counts closed and refused connections since the last report.
 	closed map[Reason]int64
 }
@@ -139,6 +147,7 @@
 		return
 	}
 	p.free(c, c.usage.charged)
+	p.enter(&c.usage, idle)
 	delete(p.conns, c)
 	if c.usage.closed {
 		p.closingConns--
@@ -160,6 +169,9 @@
 		default:
 			p.used += n
 			c.usage.charged += n
+			if c.usage.phase == handling {
+				p.handlingBytes += n
+			}
 			return true
 		}
 	}
@@ -173,9 +185,35 @@
 	if c.usage.closed {
 		p.closing -= n
 	}
+	if c.usage.phase == handling {
+		p.handlingBytes -= n
+	}
 	p.freed.Broadcast()
 }
 
+// enter records that a connection enters a phase. p.mu must be held.
+func (p *Pool) enter(u *usage, to phase) {
+	if u.phase == handling {
+		p.handlingBytes -= u.charged
+		p.handlingConns--
+	}
+	if to == handling {
+		p.handlingBytes += u.charged
+		p.handlingConns++
+	}
+	u.phase, u.since = to, time.Now()
+}
+
+// crowded reports whether the requests that are handled take more than half of the pool.
+func (p *Pool) crowded() bool {
+	if p == nil {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.handlingConns > p.maxConns/2 || p.handlingBytes > p.maxBytes/2
+}
+
 // evict closes the connections that have made the least progress for the longest, up to c,
 // until at least one is closed and excess bytes are freed, and some more. It reports whether
 // it has closed any. p.mu must be held.
@@ -213,7 +251,7 @@
 	p.closingConns++
 	p.closed[why]++
 	if u.phase == header || u.phase == body {
-		reject(c.Conn, why)
+		p.reject(c.Conn, why)
 	}
 	// The goroutine of the connection sees the error.
 	_ = c.Conn.Close()
@@ -221,7 +259,7 @@
 }
 
 // reject answers a request that is not going to be executed.
-func reject(c net.Conn, why Reason) {
+func (p *Pool) reject(c net.Conn, why Reason) {
 	status, more := http.StatusServiceUnavailable, "Retry-After: 1\r\n"
 	switch why {
 	case HeaderTooLarge:
@@ -229,9 +267,13 @@
 	case HeaderTimedOut, BodyTimedOut:
 		status, more = http.StatusRequestTimeout, ""
 	}
+	var text []byte
+	if p.Refusal != nil {
+		text, more = p.Refusal(why), more+"Content-Type: application/json\r\n"
+	}
 	// The client may be gone.
 	_ = c.SetWriteDeadline(time.Now().Add(rejectTimeout))
-	_, _ = c.Write([]byte("HTTP/1.1 " + statusLine(status) + "\r\n" + more + "Content-Length: 0\r\nConnection: close\r\n\r\n"))
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\n%sContent-Length: %d\r\nConnection: close\r\n\r\n%s", statusLine(status), more, len(text), text)
 }
 
 // read accounts for the bytes that have arrived on c. An error means that c is closed.
@@ -244,7 +286,8 @@
 	u := &c.usage
 	ok := !u.closed
 	if ok && u.phase == idle {
-		u.phase, u.since, u.headerBytes, u.bodyBytes = header, time.Now(), 0, 0
+		p.enter(u, header)
+		u.headerBytes, u.bodyBytes = 0, 0
 		ok = p.take(c, requestBytes)
 	}
 	switch u.phase {
@@ -274,7 +317,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u := &c.usage
-	u.phase, u.since = to, time.Now()
+	p.enter(u, to)
 	if to == idle {
 		p.free(c, u.charged-connectionBytes)
 		u.reserved = 0
@@ -294,7 +337,7 @@
 	p.free(c, u.reserved)
 	u.reserved = 0
 	if !complete {
-		u.phase, u.since = answered, time.Now()
+		p.enter(u, answered)
 	}
 }
 
--- a/internal/host/httpserver/request.go
+++ b/internal/host/httpserver/request.go
@@ -33,6 +33,14 @@
 	return nil
 }
 
+// Crowded reports whether the requests that are handled take more than half of the memory or
+// the connections of the server with the request of the context ctx. Requests should then
+// not wait for long, since other clients find no room meanwhile.
+func Crowded(ctx context.Context) bool {
+	c := connOf(ctx)
+	return c != nil && c.pool.crowded()
+}
+
 // account returns a handler that tells the pool how far each request has come. Until the
 // handler has read the end of a POST's body, the pool may close the connection with a refusal.
 // Reading the body then fails, and the request must have no effect.
