entry: bounds for the clients of `limpetrelay serve`

What callers saw: a process without memory, or one that had no descriptor left. Cause: the servers for callers and for other hosts had no pool, bodies were decoded as they arrived, messages of 4 MiB were accepted where the largest has some hundred bytes, a patch of empty changes took 80 times its size, and requests could wait 10 minutes on every connection. Change: one budget for the process with parts for callers (3/4) and hosts (1/4), from limits.memoryMB and limits.maxDescriptors; settings for header size and timeouts, checked; requests of hosts of up to 4 KiB; shorter waits while open requests take over half of a part; reports built one at a time; refusals with notRun.

--- a/cmd/limpetrelay/check.go
+++ b/cmd/limpetrelay/check.go
@@ -27,9 +27,15 @@
 placerTimeout = "2s"
 goneAfter = "10s"
 snapshotEvery = "5m"            # must be well below the log's retention
+headerTimeout = "10s"           # until a request's header is complete
+bodyTimeout = "30s"             # until its body is complete
+idleTimeout = "2m"              # without a request on a connection
 [limits]
 batchRecords = 128
 snapshotRecords = 500
+memoryMB = 512                  # of the process
+headerBytes = 65536             # of one request
+# maxDescriptors = 4096         # of the process; the default is that of the operating system
 `
 
 // checkCommand returns the command `limpetrelay check`.
--- a/cmd/limpetrelay/serve.go
+++ b/cmd/limpetrelay/serve.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/google/uuid"
@@ -12,6 +14,7 @@
 
 	"github.com/limpetrelay/limpetrelay/dispatch"
 	"github.com/limpetrelay/limpetrelay/entry"
+	"github.com/limpetrelay/limpetrelay/internal/host/httpserver"
 	"github.com/limpetrelay/limpetrelay/settings"
 )
 
@@ -49,6 +52,8 @@
 // serve runs an entry host with validated settings until ctx ends and the host has
 // drained.
 func serve(ctx context.Context, s *settings.Settings) error {
+	memory := cmp.Or(s.Limits.MemoryMB<<20, entry.DefaultMemory)
+	debug.SetMemoryLimit(int64(memoryFraction * float64(memory)))
 	h := &entry.Host{Settings: entry.Settings{
 		Settings: dispatch.Settings{
 			Host: s.Host, DataCentre: s.DataCentre, Incarnation: uuid.NewString(),
@@ -63,6 +68,11 @@
 		SnapshotRecords: uint64(max(0, s.Limits.SnapshotRecords)),
 		SnapshotEvery:   time.Duration(s.Timings.SnapshotEvery),
 		Logger:          newLogger(s.LogLevel),
+		Memory:          memory, MaxDescriptors: s.Limits.MaxDescriptors,
+		ClientLimits: httpserver.Limits{
+			HeaderBytes: s.Limits.HeaderBytes, HeaderTimeout: time.Duration(s.Timings.HeaderTimeout),
+			BodyTimeout: time.Duration(s.Timings.BodyTimeout), IdleTimeout: time.Duration(s.Timings.IdleTimeout),
+		},
 	}}
 	h.Dependencies = entry.NetworkDependencies(s.Platform, func(purpose string, sent, received int) {
 		h.Metrics.Count("bytesSent", purpose, "", int64(sent))
--- a/crowd/serve_test.go
+++ b/crowd/serve_test.go
@@ -45,8 +45,8 @@
 		_, err := other.Tail(t.Context(), peer.TailRequest{Host: "host-2"})
 		return err == nil
 	}
-	h.start(fmt.Sprintf("host = \"host-1\"\ndataCentre = \"dc\"\nregion = \"r\"\nlisten = %q\npeerListen = %q\nplatform = %q\n",
-		h.callers, h.peers, "http://"+address(services)), "serve")
+	h.start(fmt.Sprintf("host = \"host-1\"\ndataCentre = \"dc\"\nregion = \"r\"\nlisten = %q\npeerListen = %q\nplatform = %q\n[limits]\nmemoryMB = %d\nmaxDescriptors = %d\n",
+		h.callers, h.peers, "http://"+address(services), memoryMB, maxDescriptors), "serve")
 	require.True(t, post("http://"+h.callers+"/v1/config/patches", `{"base":0,"author":"op","changes":[{"setOrganisation":{"name":"crew"}},{"setOrganisation":{"name":"team"}}]}`, nil))
 	return h
 }
--- a/entry/answers.go
+++ b/entry/answers.go
@@ -9,6 +9,7 @@
 
 	"github.com/limpetrelay/limpetrelay/dispatch"
 	"github.com/limpetrelay/limpetrelay/fault"
+	"github.com/limpetrelay/limpetrelay/internal/host/httpserver"
 	"github.com/limpetrelay/limpetrelay/job"
 	"github.com/limpetrelay/limpetrelay/ledger"
 	"github.com/limpetrelay/limpetrelay/upstream"
@@ -30,6 +31,10 @@
 		writeError(w, err)
 		return
 	}
+	if err := noRoomError(httpserver.Reserve(r.Context(), 2*min(a.Size, upstream.MaxOutputPart))); err != nil {
+		writeError(w, err)
+		return
+	}
 	first, err := h.readPart(r.Context(), a, 0)
 	if err != nil {
 		writeError(w, err)
--- a/entry/api.go
+++ b/entry/api.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"encoding/base64"
 	"encoding/json"
@@ -14,6 +15,7 @@
 	"github.com/limpetrelay/limpetrelay/config"
 	"github.com/limpetrelay/limpetrelay/dispatch"
 	"github.com/limpetrelay/limpetrelay/fault"
+	"github.com/limpetrelay/limpetrelay/internal/host/httpserver"
 	"github.com/limpetrelay/limpetrelay/job"
 	"github.com/limpetrelay/limpetrelay/ledger"
 )
@@ -122,8 +124,9 @@
 		writeError(w, fault.Newf(fault.Invalid, "set wait to 0 to 600000 milliseconds", "wait is %d", req.Wait))
 		return
 	}
+	wait := limitWait(r.Context(), req.Wait)
 	rep, err := h.Call(r.Context(), func(id string) dispatch.Event {
-		return dispatch.Event{Submit: &dispatch.Submit{Waiter: id, Spec: req.Spec, Wait: req.Wait}}
+		return dispatch.Event{Submit: &dispatch.Submit{Waiter: id, Spec: req.Spec, Wait: wait}}
 	})
 	h.writeReply(w, r, &rep, err)
 }
@@ -146,7 +149,7 @@
 		writeError(w, err)
 		return
 	}
-	q.Wait = ms
+	q.Wait = limitWait(r.Context(), ms)
 	rep, err := h.Call(r.Context(), func(id string) dispatch.Event {
 		q.Waiter = id
 		return dispatch.Event{Wait: &q}
@@ -173,8 +176,11 @@
 
 // handlePatch serves POST /v1/config/patches?dryRun=true.
 func (h *Host) handlePatch(w http.ResponseWriter, r *http.Request) {
-	p, err := config.ParsePatch(r.Body)
-	if err != nil {
+	var p *config.Patch
+	if err := decodeBody(w, r, config.MaxPatch, patchFactor, func(b []byte) (err error) {
+		p, err = config.ParsePatch(bytes.NewReader(b))
+		return err
+	}); err != nil {
 		writeError(w, err)
 		return
 	}
@@ -192,32 +198,22 @@
 // handleConfig serves GET /v1/config.
 func (h *Host) handleConfig(w http.ResponseWriter, r *http.Request) {
 	var c config.Config
-	if !h.inspect(r.Context(), func(s *dispatch.State) { c = s.Ledger.Config.Clone() }) {
-		writeError(w, hostEndedError())
-		return
-	}
-	writeJSON(w, http.StatusOK, c)
+	h.writeReport(w, r, h.encodeState(r.Context(), &c, func(s *dispatch.State) { c = s.Ledger.Config.Clone() }))
 }
 
 // handleHistory serves GET /v1/config/history.
 func (h *Host) handleHistory(w http.ResponseWriter, r *http.Request) {
 	res := historyResponse{Versions: []ledger.Version{}}
-	if !h.inspect(r.Context(), func(s *dispatch.State) { res.Versions = append(res.Versions, s.Ledger.History...) }) {
-		writeError(w, hostEndedError())
-		return
-	}
-	writeJSON(w, http.StatusOK, res)
+	h.writeReport(w, r, h.encodeState(r.Context(), &res, func(s *dispatch.State) { res.Versions = append(res.Versions, s.Ledger.History...) }))
 }
 
 // handleStatus serves GET /v1/status.
 func (h *Host) handleStatus(w http.ResponseWriter, r *http.Request) {
 	res := statusResponse{Host: h.Host(), DataCentre: h.DataCentre, Workers: []workerStatus{}}
-	if !h.inspect(r.Context(), func(s *dispatch.State) { h.fillStatus(s, &res) }) {
-		writeError(w, hostEndedError())
-		return
-	}
-	res.View = h.View()
-	writeJSON(w, http.StatusOK, res)
+	h.writeReport(w, r, h.encodeState(r.Context(), &res, func(s *dispatch.State) {
+		h.fillStatus(s, &res)
+		res.View = h.View()
+	}))
 }
 
 // fillStatus copies the workers and the placement state of s into res. It must be
@@ -254,7 +250,7 @@
 }
 
 // handleMetrics serves GET /metrics.
-func (h *Host) handleMetrics(w http.ResponseWriter, _ *http.Request) {
+func (h *Host) handleMetrics(w http.ResponseWriter, r *http.Request) {
 	v := h.View()
 	h.Metrics.SetGauge("invariantsChecked", float64(v.Checked))
 	h.Metrics.SetGauge("invariantsBroken", float64(v.Broken))
@@ -262,8 +258,10 @@
 	h.Metrics.SetGauge("jobsPlaced", float64(v.Placed))
 	h.Metrics.SetGauge("configVersion", float64(v.Version))
 	h.Metrics.SetGauge("logAge", float64(v.LogAge))
-	w.Header().Set("Content-Type", "application/json")
-	h.Metrics.WriteJSON(w)
+	h.writeReport(w, r, func(w io.Writer) error {
+		h.Metrics.WriteJSON(w)
+		return nil
+	})
 }
 
 // writeReply writes the response to a request about a job: rep, or the error.
@@ -297,6 +295,9 @@
 	if len(rep.Outcome.Answers) != 1 || rep.Outcome.Answers[0].Size > maxInlineAnswer {
 		return ""
 	}
+	if httpserver.Reserve(ctx, answerFactor*rep.Outcome.Answers[0].Size) != nil {
+		return ""
+	}
 	b, err := h.fetchAnswer(ctx, rep.Outcome.Answers[0])
 	if err != nil {
 		return ""
@@ -330,22 +331,37 @@
 	return ms, nil
 }
 
+const (
+	// jsonFactor is the memory for decoding a submission, per byte: the decoder's copy, which
+	// doubles when it grows, the payload in base64 and the payload.
+	jsonFactor = 5
+	// patchFactor is that of a patch: an entry of a map, of 8 bytes, takes about 200.
+	patchFactor = 30
+)
+
+// decodeBody calls decode with the body of a request, which may have up to limit bytes, and
+// charges factor bytes for each byte of it meanwhile.
+func decodeBody(w http.ResponseWriter, r *http.Request, limit int, factor int64, decode func([]byte) error) error {
+	return noRoomError(httpserver.DecodeBody(w, r, limit, func(n int) int64 { return factor * int64(n) }, func(b []byte) (int64, error) {
+		// The result and the record of it stay.
+		return 2 * int64(len(b)), decode(b)
+	}))
+}
+
 // readJSON decodes a body of at most maxRequestBytes that holds one JSON value. It
 // rejects unknown fields.
 func readJSON(w http.ResponseWriter, r *http.Request, v any) error {
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes))
-	d.DisallowUnknownFields()
-	if err := d.Decode(v); err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return fault.Newf(fault.TooLarge, "send a smaller body", "the body exceeds %d bytes", int64(maxRequestBytes))
+	return decodeBody(w, r, maxRequestBytes, jsonFactor, func(b []byte) error {
+		d := json.NewDecoder(bytes.NewReader(b))
+		d.DisallowUnknownFields()
+		if err := d.Decode(v); err != nil {
+			return fault.Newf(fault.Invalid, "compare it with the operators' page", "malformed body: %v", err)
 		}
-		return fault.Newf(fault.Invalid, "compare it with the operators' page", "malformed body: %v", err)
-	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return fault.New(fault.Invalid, "data follows the body", "send one JSON object")
-	}
-	return nil
+		if _, err := d.Token(); !errors.Is(err, io.EOF) {
+			return fault.New(fault.Invalid, "data follows the body", "send one JSON object")
+		}
+		return nil
+	})
 }
 
 // writeJSON writes v as a JSON response with the given status code.
--- a/entry/host.go
+++ b/entry/host.go
@@ -10,6 +10,7 @@
 
 	"github.com/limpetrelay/limpetrelay/dispatch"
 	"github.com/limpetrelay/limpetrelay/fault"
+	"github.com/limpetrelay/limpetrelay/internal/host/httpserver"
 	"github.com/limpetrelay/limpetrelay/internal/storage/logservice"
 	"github.com/limpetrelay/limpetrelay/measure"
 	"github.com/limpetrelay/limpetrelay/peer"
@@ -54,6 +55,16 @@
 	// than SnapshotRecords entries were added. It must be well below the log's
 	// retention. Default 5 minutes.
 	SnapshotEvery time.Duration
+	// Memory is the memory of the process, in bytes. It bounds what clients take.
+	// Default DefaultMemory.
+	Memory int64
+	// MaxDescriptors is the largest number of open descriptors of the process. It
+	// bounds the connections of clients. Default the soft limit of the operating
+	// system.
+	MaxDescriptors int64
+	// ClientLimits bounds what one client may do. Zero fields have the defaults of
+	// httpserver.Limits.
+	ClientLimits httpserver.Limits
 	// Logger receives the log lines. Default slog.Default().
 	Logger *slog.Logger
 }
@@ -76,6 +87,8 @@
 	// restoreReason says why the host must restore a snapshot; nil when it need not.
 	restoreReason atomic.Pointer[string]
 	group         group
+	// reportMu is held while a report is encoded.
+	reportMu sync.Mutex
 
 	mu          sync.Mutex
 	waiters     map[string]*waiter
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -49,9 +49,14 @@
 	// Run and the servers outlive ctx, whose end only starts the drain.
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	servers := []*httpserver.Server{newHTTPServer(a.Callers, a.CallersListener, h.closeWhenDraining(callers)),
-		newHTTPServer(a.Peers, a.PeersListener, peers),
+	servers := []*httpserver.Server{
+		newHTTPServer(a.Callers, a.CallersListener, h.closeWhenDraining(callers)),
+		newHTTPServer(a.Peers, a.PeersListener, httpserver.BufferBody(peer.MaxRequest, peers)),
 	}
+	budget, callersPool, peersPool := h.newClientBudget()
+	servers[0].Pool, servers[1].Pool = callersPool, peersPool
+	budgetResult := make(chan error, 1)
+	go func() { budgetResult <- budget.Run(runCtx) }()
 	serverResults := make(chan error, len(servers))
 	for _, s := range servers {
 		go func() { serverResults <- s.Start(runCtx) }()
@@ -73,7 +78,9 @@
 		err = errors.CombineErrors(err, <-runResult)
 	case err = <-runResult:
 	}
-	return errors.CombineErrors(errors.Wrap(err, "serve"), stopServers(runCtx, servers, serverResults))
+	err = errors.CombineErrors(errors.Wrap(err, "serve"), stopServers(runCtx, servers, serverResults))
+	cancel()
+	return errors.CombineErrors(err, <-budgetResult)
 }
 
 // stopServers stops the servers once their open responses are complete, or after
--- a/entry/tail.go
+++ b/entry/tail.go
@@ -7,6 +7,7 @@
 
 	"github.com/limpetrelay/limpetrelay/dispatch"
 	"github.com/limpetrelay/limpetrelay/fault"
+	"github.com/limpetrelay/limpetrelay/internal/host/httpserver"
 	"github.com/limpetrelay/limpetrelay/internal/storage/logservice"
 	"github.com/limpetrelay/limpetrelay/peer"
 	"github.com/limpetrelay/limpetrelay/retry"
@@ -18,6 +19,8 @@
 	// maxPlacerLogAgeMS is the time since the placer last had a response from the
 	// log above which a host reads the log itself.
 	maxPlacerLogAgeMS = 3000
+	// crowdedTailWait bounds how long a call of Tail waits while others take most of the budget.
+	crowdedTailWait = 200 * time.Millisecond
 )
 
 // tailLoop follows the log until ctx ends. It reads through the placer of the data
@@ -88,9 +91,14 @@
 	})
 }
 
-// Tail implements peer.Peer.Tail. It waits at most 5 seconds for new entries.
+// Tail implements peer.Peer.Tail. It waits at most 5 seconds for new entries, and less while
+// there are too many calls.
 func (h *Host) Tail(ctx context.Context, r peer.TailRequest) (peer.TailResponse, error) {
-	page, missing := h.tail.wait(ctx, r.From, time.Duration(min(r.Wait, 5000))*time.Millisecond)
+	wait := time.Duration(min(r.Wait, 5000)) * time.Millisecond
+	if httpserver.Crowded(ctx) {
+		wait = min(wait, crowdedTailWait)
+	}
+	page, missing := h.tail.wait(ctx, r.From, wait)
 	v := h.View()
 	if !v.Ready {
 		return peer.TailResponse{}, fault.New(fault.Unavailable, "this host is not ready", "read from the log")
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -65,6 +65,9 @@
 	fetchRequest struct{}
 )
 
+// MaxRequest is the largest request of a call, in bytes: a host's name and three numbers.
+const MaxRequest = 4 << 10
+
 const (
 	procedureTail  = "/peer/tail"
 	procedureFetch = "/peer/fetch"
@@ -76,11 +79,11 @@
 
 // Register registers the calls of p on mux.
 func Register(mux *http.ServeMux, p Peer) {
-	wire.Handle(mux, procedureTail, func(ctx context.Context, r *tailRequest) (*TailResponse, error) {
+	wire.HandleLimited(mux, procedureTail, MaxRequest, func(ctx context.Context, r *tailRequest) (*TailResponse, error) {
 		res, err := p.Tail(ctx, r.TailRequest)
 		return &res, err
 	})
-	wire.Handle(mux, procedureFetch, func(ctx context.Context, _ *fetchRequest) (*SnapshotResponse, error) {
+	wire.HandleLimited(mux, procedureFetch, MaxRequest, func(ctx context.Context, _ *fetchRequest) (*SnapshotResponse, error) {
 		res, err := p.Fetch(ctx)
 		return &res, err
 	})
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -53,15 +53,31 @@
 	// Limits.SnapshotRecords entries were appended. It must be well below the log's
 	// retention. Default 5m.
 	SnapshotEvery Duration `toml:"snapshotEvery"`
+	// HeaderTimeout is the time from the first byte of a request's header until it is
+	// complete. Default 10s.
+	HeaderTimeout Duration `toml:"headerTimeout"`
+	// BodyTimeout is the time from the end of a request's header until its body is
+	// complete. Default 30s.
+	BodyTimeout Duration `toml:"bodyTimeout"`
+	// IdleTimeout is the time without a request after which a connection is closed.
+	// Default 2m.
+	IdleTimeout Duration `toml:"idleTimeout"`
 }
 
-// Limits are bounds on the work of a host. Zero selects the default.
+// Limits are bounds on the work of a host and on its clients. Zero selects the default.
 type Limits struct {
 	// BatchRecords is the largest number of records in one append. Default 128.
 	BatchRecords int `toml:"batchRecords"`
 	// SnapshotRecords is the number of log entries after which a snapshot is
 	// written. Default 500.
 	SnapshotRecords int `toml:"snapshotRecords"`
+	// MemoryMB is the memory of the process, in MiB. Default 512.
+	MemoryMB int64 `toml:"memoryMB"`
+	// MaxDescriptors is the largest number of open descriptors of the process. Default
+	// the limit that the operating system sets for it.
+	MaxDescriptors int64 `toml:"maxDescriptors"`
+	// HeaderBytes is the largest size of a request's header, in bytes. Default 65536.
+	HeaderBytes int `toml:"headerBytes"`
 }
 
 // Duration is a time.Duration that is written as text.
@@ -188,7 +204,8 @@
 	}{
 		{"heartbeat", t.Heartbeat}, {"taskLease", t.TaskLease}, {"gangLease", t.GangLease},
 		{"smallLease", t.SmallLease}, {"placerTimeout", t.PlacerTimeout}, {"goneAfter", t.GoneAfter},
-		{"snapshotEvery", t.SnapshotEvery},
+		{"snapshotEvery", t.SnapshotEvery}, {"headerTimeout", t.HeaderTimeout}, {"bodyTimeout", t.BodyTimeout},
+		{"idleTimeout", t.IdleTimeout},
 	} {
 		if f.v != 0 && (time.Duration(f.v) < minTiming || time.Duration(f.v) > maxTiming) {
 			c.add("timings."+f.key, fmt.Sprintf("%s is out of bounds", time.Duration(f.v)),
@@ -216,6 +233,21 @@
 	if n := s.Limits.SnapshotRecords; n < 0 {
 		c.add("limits.snapshotRecords", fmt.Sprintf("%d is out of bounds", n), "set it to 1 or more")
 	}
+	for _, f := range []struct {
+		key          string
+		v, low, high int64
+	}{
+		// The process takes up to 45 MB without clients.
+		{"memoryMB", s.Limits.MemoryMB, 64, 1 << 20},
+		// 200 descriptors are reserved for files.
+		{"maxDescriptors", s.Limits.MaxDescriptors, 256, 1 << 20},
+		// net/http refuses headers above 1 MiB by itself.
+		{"headerBytes", int64(s.Limits.HeaderBytes), 4 << 10, 1 << 20},
+	} {
+		if f.v != 0 && (f.v < f.low || f.v > f.high) {
+			c.add("limits."+f.key, fmt.Sprintf("%d is out of bounds", f.v), fmt.Sprintf("set it to %d to %d", f.low, f.high))
+		}
+	}
 }
 
 // orDefault returns d, or def if d is zero.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -66,8 +66,14 @@
 	return nil
 }
 
-// Handle registers fn on mux under procedure, for example "/platform/append".
+// Handle registers fn on mux under procedure, for example "/platform/append". It accepts
+// requests of up to MaxMessage bytes.
 func Handle[Req, Res any](mux *http.ServeMux, procedure string, fn func(context.Context, *Req) (*Res, error)) {
+	HandleLimited(mux, procedure, MaxMessage, fn)
+}
+
+// HandleLimited is Handle for requests of up to maxRequest bytes, after decompression.
+func HandleLimited[Req, Res any](mux *http.ServeMux, procedure string, maxRequest int, fn func(context.Context, *Req) (*Res, error)) {
 	h := connect.NewUnaryHandler(procedure,
 		func(ctx context.Context, r *connect.Request[Req]) (*connect.Response[Res], error) {
 			res, err := fn(ctx, r.Msg)
@@ -76,7 +82,7 @@
 			}
 			return connect.NewResponse(res), nil
 		},
-		connect.WithCodec(codec{}), connect.WithReadMaxBytes(MaxMessage), connect.WithCompressMinBytes(compressMinBytes))
+		connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxRequest), connect.WithCompressMinBytes(compressMinBytes))
 	mux.Handle(procedure, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// Omit the Date header, because no caller reads it.
 		w.Header()["Date"] = nil
