config: bounds for the changes of a patch, the configuration and its history

Cause: the changes were counted only after all had been decoded, nothing bound the configuration, and the history kept 256 patches of up to 256 KiB. Measured: TestConfigurationIsBounded failed before, with 100 patches accepted, and passes.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -20,6 +20,8 @@
 		{"good", `{"base":0,"author":"op","changes":[{"setClass":{"name":"c","priority":3}}]}`, ""},
 		{"not JSON", `{`, fault.Invalid},
 		{"unknown field", `{"base":0,"author":"op","sudo":true,"changes":[{"setClass":{"name":"c"}}]}`, fault.Invalid},
+		{"unknown field of a change", `{"base":0,"author":"op","changes":[{"setClass":{"name":"c"},"sudo":true}]}`, fault.Invalid},
+		{"too many changes", `{"base":0,"author":"op","changes":[{}` + strings.Repeat(",{}", 80_000) + `]}`, fault.Invalid},
 		{"trailing data", `{"base":0,"author":"op","changes":[{"setClass":{"name":"c"}}]} {}`, fault.Invalid},
 		{"no changes", `{"base":0,"author":"op","changes":[]}`, fault.Invalid},
 		{"no author", `{"base":0,"changes":[{"setClass":{"name":"c"}}]}`, fault.Invalid},
@@ -61,6 +63,27 @@
 	require.Equal(t, fault.NotFound, fault.KindOf(err))
 }
 
+// Guards against a configuration that grows with every patch until it fits into no message.
+func TestConfigurationIsBounded(t *testing.T) {
+	var c config.Config
+	for {
+		p := config.Patch{Base: c.Version, Author: "op"}
+		for i := range config.MaxChanges {
+			name := fmt.Sprintf("%s-%d-%d", strings.Repeat("n", 100), c.Version, i)
+			p.Changes = append(p.Changes, config.Change{SetClass: &config.NamedClass{Name: name}})
+		}
+		next, err := c.Apply(&p)
+		if err != nil {
+			require.Equal(t, fault.TooLarge, fault.KindOf(err))
+			break
+		}
+		c = next
+		require.Less(t, c.Version, uint64(100))
+	}
+	_, err := c.Apply(&config.Patch{Base: c.Version, Author: "op", Changes: []config.Change{{RemoveClass: fmt.Sprintf("%s-0-0", strings.Repeat("n", 100))}}})
+	require.NoError(t, err)
+}
+
 func ExampleConfig_Apply() {
 	var c config.Config
 	p := &config.Patch{Base: 0, Author: "op", Changes: []config.Change{
--- a/config/patch.go
+++ b/config/patch.go
@@ -11,6 +11,7 @@
 	"github.com/limpetrelay/limpetrelay/fault"
 	"github.com/limpetrelay/limpetrelay/job"
 	"github.com/limpetrelay/limpetrelay/rack"
+	"github.com/limpetrelay/limpetrelay/wire"
 )
 
 const (
@@ -18,6 +19,9 @@
 	MaxChanges = 256
 	// MaxPatch is the largest accepted patch, in bytes.
 	MaxPatch = 256 << 10
+	// MaxSize is the largest encoded configuration, in bytes. 22 organisations with
+	// guarantees in 12 data centres take 20 KB.
+	MaxSize = 1 << 20
 	// maxPriority bounds Class.Priority in both directions.
 	maxPriority = 100
 	// maxWeight bounds each policy weight.
@@ -76,17 +80,48 @@
 	}
 	d := json.NewDecoder(bytes.NewReader(b))
 	d.DisallowUnknownFields()
-	p := &Patch{}
-	if err := d.Decode(p); err != nil {
+	var body patchBody
+	if err := d.Decode(&body); err != nil {
 		return nil, fault.Newf(fault.Invalid, "compare it with the examples of `limpetrelay config patch --help`",
 			"malformed patch: %v", err)
 	}
 	if d.More() {
 		return nil, fault.New(fault.Invalid, "unexpected data after the patch", "send exactly one JSON object")
 	}
+	p := &Patch{Base: body.Base, Author: body.Author, Changes: body.Changes}
 	return p, p.Validate()
 }
 
+// patchBody is a patch while it is decoded.
+type patchBody struct {
+	Base    uint64     `json:"base"`
+	Author  string     `json:"author"`
+	Changes changeList `json:"changes"`
+}
+
+// changeList is the changes of a patch. Decoding it fails beyond MaxChanges, since a list of
+// empty changes takes over 50 times its size.
+type changeList []Change
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (l *changeList) UnmarshalJSON(b []byte) (err error) {
+	*l, err = wire.DecodeList[Change](b, MaxChanges, true)
+	return err
+}
+
+// Size returns the size of the encoded patch, in bytes; 0 if it cannot be encoded.
+func (p *Patch) Size() int64 {
+	return encodedSize(p)
+}
+
+func encodedSize(v any) int64 {
+	b, err := wire.Encode(v)
+	if err != nil {
+		return 0
+	}
+	return int64(len(b))
+}
+
 // Validate returns an Invalid error when p is malformed regardless of the
 // configuration that it is applied to.
 func (p *Patch) Validate() error {
@@ -107,7 +142,8 @@
 
 // Apply returns the next version of the configuration, with the changes of p. It
 // returns a Conflict error when p was written against another version than c, an
-// error of Validate when p is malformed, and a NotFound error when p removes an
+// error of Validate when p is malformed, a TooLarge error when the configuration would
+// exceed MaxSize, and a NotFound error when p removes an
 // organisation or class that does not exist or opens a data centre that is not
 // closed. It never changes c.
 func (c *Config) Apply(p *Patch) (Config, error) {
@@ -126,6 +162,9 @@
 		}
 	}
 	d.Version++
+	if n := encodedSize(&d); n > MaxSize && n > encodedSize(c) {
+		return Config{}, fault.Newf(fault.TooLarge, "remove organisations or classes that are not used", "the configuration would exceed %d bytes", MaxSize)
+	}
 	return d, nil
 }
 
--- a/ledger/configure.go
+++ b/ledger/configure.go
@@ -48,11 +48,9 @@
 	slices.Sort(dataCentres)
 	l.Config = next
 	l.History = append(l.History, Version{
-		Version: next.Version, Patch: *r.Patch, Host: r.Host, At: r.At, Offset: offset,
+		Version: next.Version, Patch: *r.Patch, Host: r.Host, At: r.At, Offset: offset, Size: r.Patch.Size(),
 	})
-	if n := len(l.History) - MaxHistory; n > 0 {
-		l.History = slices.Delete(l.History, 0, n)
-	}
+	l.trimHistory()
 	for _, dc := range slices.Compact(dataCentres) {
 		l.rebindGuarantees(dc)
 	}
@@ -62,6 +60,19 @@
 	return Verdict{Version: next.Version}
 }
 
+// trimHistory deletes the oldest versions beyond MaxHistory and MaxHistoryBytes. It keeps the
+// newest one.
+func (l *Ledger) trimHistory() {
+	n := max(0, len(l.History)-MaxHistory)
+	var size int64
+	for i := len(l.History) - 1; i >= n; i-- {
+		if size += l.History[i].Size; size > MaxHistoryBytes {
+			n = min(i+1, len(l.History)-1)
+		}
+	}
+	l.History = slices.Delete(l.History, 0, n)
+}
+
 // checkGuarantees returns an Infeasible error if the cells of the live accelerated
 // workers of dc, when idle, cannot hold all guarantees of c. The error states the
 // numbers of cells. A patch that raises no guarantee in dc is never rejected.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -23,6 +23,8 @@
 	IncarnationRetention = 24 * 3600 * 1000
 	// MaxHistory is the maximum number of entries in Ledger.History.
 	MaxHistory = 256
+	// MaxHistoryBytes bounds the patches in Ledger.History, in bytes.
+	MaxHistoryBytes = 1 << 20
 	// maxTimeStep is the maximum advance of the log time by one record, in
 	// milliseconds, so that a host with a wrong clock cannot expire everything at
 	// once.
@@ -113,6 +115,9 @@
 	Host   string `json:"host"`
 	At     int64  `json:"at"`
 	Offset uint64 `json:"offset"`
+	// Size is the size of the encoded patch, in bytes; 0 for one of an earlier version of the
+	// program.
+	Size int64 `json:"-" cbor:",omitempty"`
 }
 
 // KeyEntry is the state kept for a request key.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -1,7 +1,9 @@
 package wire
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -66,6 +68,34 @@
 	return nil
 }
 
+// DecodeList decodes a JSON list of at most limit elements. It fails before it allocates memory
+// for more. Unknown fields of the elements are an error if strict is set. The list is nil for
+// null.
+func DecodeList[T any](b []byte, limit int, strict bool) ([]T, error) {
+	if string(b) == "null" {
+		return nil, nil
+	}
+	d := json.NewDecoder(bytes.NewReader(b))
+	if strict {
+		d.DisallowUnknownFields()
+	}
+	if t, err := d.Token(); err != nil || t != json.Delim('[') {
+		return nil, errors.New("the value is not a list")
+	}
+	var list []T
+	for d.More() {
+		if len(list) == limit {
+			return nil, errors.Newf("the list has more than %d elements", limit)
+		}
+		var v T
+		if err := d.Decode(&v); err != nil {
+			return nil, err
+		}
+		list = append(list, v)
+	}
+	return list, nil
+}
+
 // Handle registers fn on mux under procedure, for example "/platform/append". It accepts
 // requests of up to MaxMessage bytes.
 func Handle[Req, Res any](mux *http.ServeMux, procedure string, fn func(context.Context, *Req) (*Res, error)) {
