dispatch, entry: records, tails and payloads are bounded by bytes

Cause: an append had up to 128 records and a page for another host 256 entries, whatever their size, so that messages exceeded 4 MiB; 4,096 entries stayed in memory for other hosts; ended jobs kept their payload.

--- a/crowd/serve_test.go
+++ b/crowd/serve_test.go
@@ -5,11 +5,13 @@
 	"compress/gzip"
 	"encoding/base64"
 	"fmt"
+	"math/rand"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -85,6 +87,22 @@
 	return func(c net.Conn, i int) { sendParts(c, i, line+header, append(parts[:len(parts):len(parts)], last)...) }
 }
 
+// randomPayload returns a payload of the largest size that cannot be compressed.
+func randomPayload(i int) string {
+	b := make([]byte, 64<<10)
+	_, _ = rand.New(rand.NewSource(int64(i))).Read(b)
+	return string(b)
+}
+
+// largePatch returns a patch of a version that adds as many classes as it may.
+func largePatch(base int) string {
+	var changes []string
+	for i := range 256 {
+		changes = append(changes, fmt.Sprintf(`{"setClass":{"name":"%s-%d-%d"}}`, strings.Repeat("n", 100), base, i))
+	}
+	return fmt.Sprintf(`{"base":%d,"author":"op","changes":[%s]}`, base, strings.Join(changes, ","))
+}
+
 func plain(s string) string { return s }
 
 func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
@@ -135,6 +153,24 @@
 			text := serveJob("crew", fmt.Sprint("large-", i), 0, payload)
 			sendParts(c, 0, serveRequest+length(len(text)), text[:1], text[1:])
 		}},
+		"jobsInTurn": {1000, descriptors, false, func(c net.Conn, i int) {
+			// The clients come one after the other, so that none of them is refused on arrival.
+			time.Sleep(time.Duration(i) * 4 * time.Millisecond)
+			text := serveJob("crew", fmt.Sprint("large-", i), 1000, randomPayload(i))
+			sendParts(c, 0, serveRequest+length(len(text)), text[:1], text[1:])
+		}},
+		"patchesInTurn": {200, descriptors, false, func(c net.Conn, i int) {
+			time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+			text := largePatch(i + 1)
+			sendParts(c, 0, patchRequest+length(len(text)), text[:1], text[1:])
+		}},
+		"reports": {900, descriptors, false, func(c net.Conn, i int) {
+			_ = repeat(c, fmt.Sprintf("GET /v1/%s HTTP/1.1\r\nHost: crowd.example\r\n\r\n", []string{"status", "config/history"}[i%2]), 4<<10)
+		}},
+		"peerPolls": {400, descriptors, true, func(c net.Conn, _ int) {
+			text := "\xa1af\x00"
+			_ = repeat(c, peerRequest+length(len(text))+"\r\n"+text, 2<<10)
+		}},
 		"waiting": {900, fewDescriptors, false, func(c net.Conn, _ int) {
 			text := serveJob("crew", "long", 600_000, `{"run":600000}`)
 			_ = write(c, serveRequest+length(len(text))+"\r\n"+text)
@@ -145,6 +181,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := startServe(t, x.descriptors)
+			if name == "peerPolls" {
+				for i := range 100 {
+					require.True(t, post("http://"+h.callers+"/v1/jobs", serveJob("crew", fmt.Sprint("large-", i), 0, randomPayload(i)), nil))
+				}
+			}
 			run(h, x.clients, map[bool]string{false: h.callers, true: h.peers}[x.atPeers], x.send)
 		})
 	}
--- a/dispatch/outbox.go
+++ b/dispatch/outbox.go
@@ -52,7 +52,12 @@
 		return
 	}
 	a := &Append{}
+	var payload int64
 	for i := range s.queue[:min(len(s.queue), s.BatchRecords)] {
+		payload += payloadBytes(&s.queue[i].record)
+		if i > 0 && payload > maxBatchPayload {
+			break
+		}
 		a.Batch = append(a.Batch, s.queue[i].record)
 		a.MayBeApplied = a.MayBeApplied || s.queue[i].mayBeApplied
 	}
@@ -60,6 +65,21 @@
 	s.emit(Effect{Append: a})
 }
 
+// maxBatchPayload bounds the payloads in one append, in bytes, and thereby the entries of the
+// log, since other hosts read several of them in one message of at most wire.MaxMessage.
+const maxBatchPayload = 256 << 10
+
+// payloadBytes returns the size of the part of r that a caller chose, in bytes.
+func payloadBytes(r *record.Record) int64 {
+	switch {
+	case r.Accept != nil:
+		return int64(len(r.Accept.Spec.Payload))
+	case r.Patch != nil:
+		return r.Patch.Size()
+	}
+	return 0
+}
+
 // onAppended processes the result of the append in flight.
 func (s *State) onAppended(a *Appended) {
 	n := s.inFlight
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -61,6 +61,9 @@
 	// BatchRecords is the maximum number of records in one append. Default 128;
 	// 1 turns batching off.
 	BatchRecords int
+	// MaxPayloadBytes bounds the payloads of all open jobs and of those that wait for the
+	// log, in bytes. 0 means no bound.
+	MaxPayloadBytes int64
 	// Policy orders jobs and ranks nodes. The zero value is policy.Cells.
 	Policy policy.Policy
 }
--- a/entry/host.go
+++ b/entry/host.go
@@ -30,6 +30,12 @@
 	tailRetryPause = 200 * time.Millisecond
 	// eventQueueSize bounds the events that are queued for the state machine.
 	eventQueueSize = 1024
+	// payloadMemoryShare is the part of the host's memory, as a divisor, that the payloads
+	// of open jobs may take. Encoding a snapshot takes up to twice as much again.
+	payloadMemoryShare = 16
+	// minPayloadBytes is the least memory for payloads, in bytes: 120 of the largest size,
+	// since one more may take an eighth of what is left.
+	minPayloadBytes = 8 << 20
 )
 
 // Dependencies are the services that a Host calls, and its clock. All but Clock
@@ -227,6 +233,10 @@
 		if h.SnapshotRecords == 0 {
 			h.SnapshotRecords = 500
 		}
+		if h.MaxPayloadBytes == 0 && h.Memory > 0 {
+			h.MaxPayloadBytes = max(minPayloadBytes, h.Memory/payloadMemoryShare)
+		}
+		h.tail.maxBytes = h.Memory / tailMemoryShare
 		if h.SnapshotEvery == 0 {
 			h.SnapshotEvery = 5 * time.Minute
 		}
--- a/entry/tail.go
+++ b/entry/tail.go
@@ -16,6 +16,9 @@
 const (
 	// maxTailEntries bounds the log entries kept in memory for peers.
 	maxTailEntries = 4096
+	// tailMemoryShare is the part of the host's memory, as a divisor, that these entries
+	// may take.
+	tailMemoryShare = 32
 	// maxPlacerLogAgeMS is the time since the placer last had a response from the
 	// log above which a host reads the log itself.
 	maxPlacerLogAgeMS = 3000
@@ -99,6 +102,9 @@
 		wait = min(wait, crowdedTailWait)
 	}
 	page, missing := h.tail.wait(ctx, r.From, wait)
+	if err := httpserver.Reserve(ctx, tailFactor*pageBytes(page.Entries)); err != nil {
+		return peer.TailResponse{}, noRoomError(err)
+	}
 	v := h.View()
 	if !v.Ready {
 		return peer.TailResponse{}, fault.New(fault.Unavailable, "this host is not ready", "read from the log")
@@ -113,8 +119,13 @@
 // tailBuffer holds the newest contiguous log entries for peers. The zero value is
 // empty.
 type tailBuffer struct {
+	// maxBytes bounds the size of the entries, save for the newest; 0 means no bound.
+	maxBytes int64
+
 	mu      sync.Mutex
 	entries []logservice.Entry
+	// bytes is the size of entries.
+	bytes int64
 	// grown is closed and cleared when entries are added.
 	grown chan struct{}
 }
@@ -124,7 +135,7 @@
 func (b *tailBuffer) add(es []logservice.Entry) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	n := len(b.entries)
+	added := false
 	for _, e := range es {
 		if len(b.entries) > 0 {
 			next := b.entries[len(b.entries)-1].Offset + 1
@@ -132,20 +143,42 @@
 				continue
 			}
 			if e.Offset > next {
-				b.entries = nil
+				b.entries, b.bytes = nil, 0
 			}
 		}
 		b.entries = append(b.entries, e)
+		b.bytes += int64(len(e.Data))
+		added = true
 	}
-	if k := len(b.entries) - maxTailEntries; k > 0 {
-		b.entries = append([]logservice.Entry(nil), b.entries[k:]...)
-	}
-	if len(b.entries) != n && b.grown != nil {
+	b.trim()
+	if added && b.grown != nil {
 		close(b.grown)
 		b.grown = nil
 	}
 }
 
+// trim drops the oldest entries beyond the bounds. b.mu must be held.
+func (b *tailBuffer) trim() {
+	k := max(0, len(b.entries)-maxTailEntries)
+	b.bytes -= pageBytes(b.entries[:k])
+	for b.maxBytes > 0 && b.bytes > b.maxBytes && k < len(b.entries)-1 {
+		b.bytes -= int64(len(b.entries[k].Data))
+		k++
+	}
+	if k > 0 {
+		b.entries = append([]logservice.Entry(nil), b.entries[k:]...)
+	}
+}
+
+// pageBytes returns the size of entries, in bytes.
+func pageBytes(entries []logservice.Entry) int64 {
+	var n int64
+	for _, e := range entries {
+		n += int64(len(e.Data))
+	}
+	return n
+}
+
 // wait returns the entries from the given offset, and waits up to d for the first.
 // It reports missing when the buffer is empty or the offset is older than its
 // oldest entry.
@@ -167,8 +200,16 @@
 	}
 }
 
-// maxPeerPage bounds the log entries in one response to a peer.
-const maxPeerPage = 256
+const (
+	// maxPeerPage bounds the log entries in one response to a peer.
+	maxPeerPage = 256
+	// maxPeerPageBytes bounds their size, save for the first one, in bytes: a message has at
+	// most wire.MaxMessage, and several hosts poll at once.
+	maxPeerPageBytes = 256 << 10
+	// tailFactor is the memory of a response in relation to its entries: the encoded message,
+	// its growing buffer and the compressed one.
+	tailFactor = 4
+)
 
 // page returns the entries from the given offset, whether they are missing as wait
 // reports it, and a channel that is closed when entries are added.
@@ -189,6 +230,13 @@
 	}
 	if from < end {
 		p.Entries = b.entries[from-start : min(end-start, from-start+maxPeerPage)]
+		size := int64(0)
+		for i := range p.Entries {
+			if size += int64(len(p.Entries[i].Data)); i > 0 && size > maxPeerPageBytes {
+				p.Entries = p.Entries[:i]
+				break
+			}
+		}
 	}
 	return p, false, b.grown
 }
--- a/ledger/guarantees.go
+++ b/ledger/guarantees.go
@@ -24,9 +24,11 @@
 // rebuild recomputes all derived fields.
 func (l *Ledger) rebuild() {
 	l.cellTables, l.names, l.open = map[string]*cellTable{}, map[string][]string{}, map[string]*Job{}
+	l.openPayload = 0
 	for id, j := range l.Jobs {
 		if j.State != Finished {
 			l.open[id] = j
+			l.openPayload += int64(len(j.Spec.Payload))
 		}
 	}
 	// The cell tables are derived from open, which must be complete first.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -169,6 +169,8 @@
 
 	// open is derived from Jobs and holds the jobs without an outcome.
 	open map[string]*Job
+	// openPayload is the size of the payloads of the jobs in open, in bytes.
+	openPayload int64
 	// names is derived from Workers and caches the sorted worker names per data
 	// centre.
 	names map[string][]string
@@ -336,6 +338,12 @@
 	return l.open
 }
 
+// OpenPayloadBytes returns the size of the payloads of all jobs without an outcome, in bytes.
+func (l *Ledger) OpenPayloadBytes() int64 {
+	l.init()
+	return l.openPayload
+}
+
 // compareJobs orders jobs by the offset of their acceptance, then by ID.
 func (l *Ledger) compareJobs(a, b *Job) int {
 	if a.AcceptedOffset != b.AcceptedOffset {
