--- a/crowd/serve_test.go
+++ b/crowd/serve_test.go
@@ -167,6 +167,9 @@
 		"reports": {900, descriptors, false, func(c net.Conn, i int) {
 			_ = repeat(c, fmt.Sprintf("GET /v1/%s HTTP/1.1\r\nHost: crowd.example\r\n\r\n", []string{"status", "config/history"}[i%2]), 4<<10)
 		}},
+		"peerFetches": {400, descriptors, true, func(c net.Conn, _ int) {
+			_ = write(c, strings.Replace(peerRequest, "tail", "fetch", 1)+length(1)+"\r\n\xa0")
+		}},
 		"peerPolls": {400, descriptors, true, func(c net.Conn, _ int) {
 			text := "\xa1af\x00"
 			_ = repeat(c, peerRequest+length(len(text))+"\r\n"+text, 2<<10)
@@ -181,7 +184,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := startServe(t, x.descriptors)
-			if name == "peerPolls" {
+			if name == "peerFetches" || name == "peerPolls" {
 				for i := range 100 {
 					require.True(t, post("http://"+h.callers+"/v1/jobs", serveJob("crew", fmt.Sprint("large-", i), 0, randomPayload(i)), nil))
 				}
--- a/entry/host.go
+++ b/entry/host.go
@@ -93,6 +93,9 @@
 	// restoreReason says why the host must restore a snapshot; nil when it need not.
 	restoreReason atomic.Pointer[string]
 	group         group
+	// fetchMu is held while a snapshot for Fetch is encoded.
+	fetchMu sync.Mutex
+	fetched atomic.Pointer[fetchedSnapshot]
 	// reportMu is held while a report is encoded.
 	reportMu sync.Mutex
 
@@ -286,6 +289,7 @@
 			close(e.applied)
 		}
 		h.snapshotIfDue(ctx, s)
+		h.dropFetched()
 	}
 }
 
--- a/entry/snapshots.go
+++ b/entry/snapshots.go
@@ -7,6 +7,7 @@
 
 	"github.com/limpetrelay/limpetrelay/dispatch"
 	"github.com/limpetrelay/limpetrelay/fault"
+	"github.com/limpetrelay/limpetrelay/internal/host/httpserver"
 	"github.com/limpetrelay/limpetrelay/internal/storage/logservice"
 	"github.com/limpetrelay/limpetrelay/ledger"
 	"github.com/limpetrelay/limpetrelay/peer"
@@ -173,24 +174,64 @@
 	return nil
 }
 
+const (
+	// maxFetchAge is how long the snapshot of one call of Fetch serves others. The caller reads
+	// what is newer from the log.
+	maxFetchAge = time.Second
+	// fetchFactor is the memory of a response in relation to the snapshot: the encoded message,
+	// its growing buffer and the compressed one.
+	fetchFactor = 4
+	// maxFetchBytes is the largest snapshot that fits into a message, with room for its header.
+	maxFetchBytes = wire.MaxMessage - 1<<10
+)
+
+// fetchedSnapshot is the snapshot that Fetch returned last.
+type fetchedSnapshot struct {
+	data []byte
+	at   time.Time
+}
+
 // Fetch implements peer.Peer.Fetch.
 func (h *Host) Fetch(ctx context.Context) (peer.SnapshotResponse, error) {
 	if !h.View().Ready {
 		return peer.SnapshotResponse{}, fault.New(fault.Unavailable, "this host is not ready", "fetch the snapshot from another host")
 	}
-	ch := make(chan []byte, 1)
-	if !h.inspect(ctx, func(s *dispatch.State) {
-		data, err := s.Ledger.Snapshot()
-		if err == nil {
-			ch <- data
-		}
-	}) {
-		return peer.SnapshotResponse{}, hostEndedError()
+	data, err := h.recentSnapshot(ctx)
+	if err != nil {
+		return peer.SnapshotResponse{}, err
 	}
-	select {
-	case d := <-ch:
-		return peer.SnapshotResponse{Data: d}, nil
-	default:
-		return peer.SnapshotResponse{}, fault.New(fault.Unavailable, "cannot encode a snapshot", "fetch the snapshot from another host")
+	if len(data) > maxFetchBytes {
+		return peer.SnapshotResponse{}, fault.New(fault.TooLarge, "the snapshot does not fit into a message", "read the stream of snapshots")
+	}
+	if err := httpserver.Reserve(ctx, fetchFactor*int64(len(data))); err != nil {
+		return peer.SnapshotResponse{}, noRoomError(err)
+	}
+	return peer.SnapshotResponse{Data: data}, nil
+}
+
+// recentSnapshot returns a snapshot that is at most maxFetchAge old. Calls wait for one that
+// encodes it, since that takes the time of the state machine.
+func (h *Host) recentSnapshot(ctx context.Context) ([]byte, error) {
+	h.fetchMu.Lock()
+	defer h.fetchMu.Unlock()
+	if f := h.fetched.Load(); f != nil && time.Since(f.at) < maxFetchAge {
+		return f.data, nil
+	}
+	var data []byte
+	var err error
+	if !h.inspect(ctx, func(s *dispatch.State) { data, err = s.Ledger.Snapshot() }) {
+		return nil, hostEndedError()
+	}
+	if err != nil {
+		return nil, fault.Newf(fault.Unavailable, "fetch the snapshot from another host", "cannot encode a snapshot: %v", err)
+	}
+	h.fetched.Store(&fetchedSnapshot{data: data, at: time.Now()})
+	return data, nil
+}
+
+// dropFetched drops the snapshot of Fetch once it is too old to be used.
+func (h *Host) dropFetched() {
+	if f := h.fetched.Load(); f != nil && time.Since(f.at) >= maxFetchAge {
+		h.fetched.CompareAndSwap(f, nil)
 	}
 }
