httpserver: bound for the connections that are not accepted yet

Cause: up to 4,096 connections wait at each address, each with a full buffer. Change: the number that may wait follows from the memory of the address's part of the budget, 64 KiB each, at least 16.

--- a/internal/host/httpserver/listener.go
+++ b/internal/host/httpserver/listener.go
@@ -37,7 +37,7 @@
 }
 
 func newListener(l net.Listener, pool *Pool) *listener {
-	boundBuffers(l)
+	boundKernelMemory(l, pool)
 	return &listener{Listener: l, pool: pool, closed: make(chan struct{}), conns: map[*conn]struct{}{}}
 }
 
--- a/internal/host/httpserver/pool.go
+++ b/internal/host/httpserver/pool.go
@@ -111,6 +111,9 @@
 	return p
 }
 
+// backlog returns how many connections may wait to be accepted.
+func (p *Pool) backlog() int { return int(max(minBacklog, p.maxBytes/backlogBytes)) }
+
 // admit adds a new connection and reports whether there is room for it.
 func (p *Pool) admit(c *conn) bool {
 	if p == nil {
--- a/internal/host/httpserver/socket.go
+++ b/internal/host/httpserver/socket.go
@@ -7,12 +7,17 @@
 	"golang.org/x/sys/unix"
 )
 
-// receiveBufferBytes and sendBufferBytes are the sizes of the kernel's buffers of a connection,
-// for which it allocates up to twice as much. At a round trip of 20 ms, between regions, a body
-// arrives at 800 KB a second.
 const (
+	// receiveBufferBytes and sendBufferBytes are the sizes of the kernel's buffers of a
+	// connection, for which it allocates up to twice as much. At a round trip of 20 ms, between
+	// regions, a body arrives at 800 KB a second.
 	receiveBufferBytes = 16 << 10
 	sendBufferBytes    = 16 << 10
+	// backlogBytes is the memory of a connection that is not accepted yet: a full buffer, and
+	// as much again for the kernel's own.
+	backlogBytes = 4 * receiveBufferBytes
+	// minBacklog is the least number of connections that may wait to be accepted.
+	minBacklog = 16
 )
 
 // control calls fn with the descriptor of a listener or connection, and reports whether it has
@@ -29,13 +34,16 @@
 	return rc.Control(func(fd uintptr) { fn(int(fd)) }) == nil
 }
 
-// boundBuffers bounds the kernel's buffers of the connections that l accepts, which inherit the
-// options of l. By default they grow to several megabytes each, beside the process's memory.
-func boundBuffers(l net.Listener) {
+// boundKernelMemory bounds what the kernel holds for the connections of l beside the process's
+// memory: their buffers, which they inherit from l and which otherwise grow to several
+// megabytes, and the connections that are not accepted yet, otherwise up to 4,096.
+func boundKernelMemory(l net.Listener, pool *Pool) {
 	control(l, func(fd int) {
-		for option, n := range map[int]int{unix.SO_RCVBUF: receiveBufferBytes, unix.SO_SNDBUF: sendBufferBytes} {
-			// The connections then have the buffers of the system.
-			_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, option, n)
+		// If a call fails, the bounds of the system remain.
+		_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
+		_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, sendBufferBytes)
+		if pool != nil {
+			_ = unix.Listen(fd, pool.backlog())
 		}
 	})
 }
