crowd: the harness of `limpetrelay front` back in its file

Change: host_test.go has both; no crowd, bound or check differs. Measured: TestSlowBody and the crowd idle of TestServe pass.

--- a/crowd/host_test.go
+++ b/crowd/host_test.go
@@ -3,9 +3,11 @@
 package crowd
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -22,6 +24,7 @@
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobspec"
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/simulation"
 	"github.com/limpetrelay/limpetrelay/platform"
+	"github.com/limpetrelay/limpetrelay/standin/emulator"
 )
 
 // binary is the path of the program that TestMain builds.
@@ -42,7 +45,7 @@
 }
 
 const (
-	// memoryMB is the setting limits.memory_mb, the bound of the process's resident memory.
+	// memoryMB is the setting limits.memory_mb, the bound of the process's memory.
 	memoryMB = 128
 	// reservedDescriptors is the part of limits.max_fds that is reserved for files.
 	reservedDescriptors = 200
@@ -50,6 +53,9 @@
 	listening = "0A"
 	// hostName is the name that the requests state.
 	hostName = "crowd.example"
+	bodyBytes           = 262_144
+	headerBytes         = 16_384
+	jobBody             = `{"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":64,"est_ms":10}]}`
 )
 
 // host is an entry host that runs as a process.
@@ -72,6 +78,56 @@
 	mostOpenFiles, mostMemory atomic.Int64
 }
 
+// deployment is an emulated store with two workers.
+type deployment struct {
+	t       *testing.T
+	store   *emulator.Store
+	address string
+	workers *simulation.WorkerPool
+}
+
+func newDeployment(t *testing.T) *deployment {
+	s := &emulator.Store{}
+	d := &deployment{t: t, store: s, workers: simulation.NewWorkerPool(simulation.Scenario{Seed: 1, Workers: 2})}
+	server := httptest.NewServer(s.Handler())
+	t.Cleanup(server.Close)
+	d.address = server.Listener.Addr().String()
+	configuration, err := json.Marshal(map[string]any{
+		"version": 1, "services": []map[string]any{{"name": "service", "rejects_overload": true}},
+		"routes": []map[string]any{{"name": "batch", "host": hostName, "path_prefix": "/batch/", "service": "service",
+			"priority": 2, "max_attempts": 4, "stretch_factor": 3, "slo_ms": 500, "timeout_ms": 3000}},
+		"tenants": []map[string]any{{"name": "crew", "keys": []string{"key-a"}, "guaranteed": 1}},
+		"limits":  map[string]any{"header_bytes": headerBytes, "body_bytes": bodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15_000},
+	})
+	require.NoError(t, err)
+	s.Put(platform.TopicConfiguration, platform.KeyConfiguration, configuration)
+	runEvery(t, 5*time.Millisecond, d.workers.Advance)
+	for _, id := range d.workers.IDs() {
+		l := emulator.NewLink(d.workers, id, 1, nil)
+		t.Cleanup(l.Close)
+		runEvery(t, 1500*time.Millisecond, func() { _ = l.Heartbeat(s) })
+	}
+	return d
+}
+
+// start starts the n-th host, with `limpetrelay front`.
+func (d *deployment) start(n, memoryMB, maxDescriptors int) *host {
+	t, ip := d.t, loopbackIP(n)
+	h := &host{t: t, workers: d.workers, memoryMB: memoryMB, maxDescriptors: maxDescriptors, readyPath: "/ready"}
+	h.callers, h.ready, h.metrics = freeAddress(t, ip), freeAddress(t, ip), net.JoinHostPort(ip, "9464")
+	h.submit = func(id string) bool {
+		return post("http://"+h.callers+"/batch/"+id, jobBody, http.Header{"Credential": {"key-a"}})
+	}
+	h.start(fmt.Sprintf(
+		"node=front-%d\nzone=dc\nregion=r\nlisten_addrs.front=%s\nlisten_addrs.ready=%s\nip=%s\nplatform.address=%s\nlimits.memory_mb=%d\nlimits.max_fds=%d\n",
+		n, h.callers, h.ready, ip, d.address, memoryMB, maxDescriptors), "front")
+	return h
+}
+
+func startHost(t *testing.T, maxDescriptors int) *host {
+	return newDeployment(t).start(1, memoryMB, maxDescriptors)
+}
+
 // loopbackIP returns the address of the n-th host. The port of the metrics is fixed, therefore
 // each host of each process has an address of its own.
 func loopbackIP(n int) string {
@@ -80,23 +136,23 @@
 
 // start starts the process and waits until it is ready.
 func (h *host) start(settings string, args ...string) {
-	dir := h.t.TempDir()
+	t, dir := h.t, h.t.TempDir()
 	file := filepath.Join(dir, "settings")
-	require.NoError(h.t, os.WriteFile(file, []byte(settings), 0o600))
+	require.NoError(t, os.WriteFile(file, []byte(settings), 0o600))
 	log, err := os.Create(filepath.Join(dir, "log"))
-	require.NoError(h.t, err)
+	require.NoError(t, err)
 	h.exited = make(chan error, 1)
 	h.cmd = exec.Command(binary, append(args, "--settings", file)...)
 	h.cmd.Stdout, h.cmd.Stderr = log, log
-	require.NoError(h.t, h.cmd.Start())
+	require.NoError(t, h.cmd.Start())
 	go func() { h.exited <- h.cmd.Wait() }()
-	h.t.Cleanup(func() {
+	t.Cleanup(func() {
 		_ = h.cmd.Process.Kill()
-		h.t.Log("the process has ended:", <-h.exited)
+		t.Log("the process has ended:", <-h.exited)
 		_ = log.Close()
 	})
-	require.Eventually(h.t, h.isReady, 20*time.Second, 50*time.Millisecond, "the host did not become ready")
-	runEvery(h.t, 20*time.Millisecond, h.measure)
+	require.Eventually(t, h.isReady, 20*time.Second, 50*time.Millisecond, "the host did not become ready")
+	runEvery(t, 20*time.Millisecond, h.measure)
 }
 
 // runEvery calls do at once and then at interval d until the test ends.
