httpserver: a body that can never be decoded is refused at once

What callers saw: with limits that allow bodies for which the budget of a small host has no room at all, each was answered with 503, as if a retry could help. Cause: a reservation beyond the whole budget counted as a lack of room. Change: it is answered with 413, before the body is read if its length is known. Measured: TestBytesAreBounded has a check of it that failed before (kind overloaded) and passes.

--- a/internal/host/httpserver/body.go
+++ b/internal/host/httpserver/body.go
@@ -35,7 +35,7 @@
 	b, err := readBody(r.Context(), http.MaxBytesReader(w, r.Body, int64(limit)), limit)
 	var tooLarge *http.MaxBytesError
 	switch {
-	case err == nil || fault.KindOf(err) == fault.Overloaded:
+	case err == nil || fault.KindOf(err) == fault.Overloaded || fault.KindOf(err) == fault.TooLarge:
 		return b, err
 	case errors.As(err, &tooLarge):
 		return nil, tooLargeError(limit)
@@ -73,11 +73,18 @@
 // decode returns the memory of its result, which replaces that of the body until the handler
 // returns. Beside the errors of ReadBody, DecodeBody returns those of decode.
 func DecodeBody(w http.ResponseWriter, r *http.Request, limit int, need func(n int) int64, decode func([]byte) (int64, error)) error {
+	ctx := r.Context()
+	if n := r.ContentLength; n > 0 && n <= int64(limit) {
+		// A body that can never be decoded is refused before it is read.
+		if err := checkFits(ctx, n+need(int(n))); err != nil {
+			w.Header().Set("Connection", "close")
+			return err
+		}
+	}
 	b, err := ReadBody(w, r, limit)
 	if err != nil {
 		return err
 	}
-	ctx := r.Context()
 	select {
 	case decodes <- struct{}{}:
 		defer func() { <-decodes }()
--- a/internal/host/httpserver/pool_test.go
+++ b/internal/host/httpserver/pool_test.go
@@ -91,6 +91,7 @@
 	account(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		assert.NoError(t, Reserve(ctx, 80_000))
 		assert.Equal(t, fault.Overloaded, fault.KindOf(Reserve(ctx, 80_000)))
+		assert.Equal(t, fault.TooLarge, fault.KindOf(Reserve(ctx, 90_000)))
 	})).ServeHTTP(nil, r.WithContext(ctx))
 	assert.EqualValues(t, connectionBytes, p.used, "reservations end with the handler")
 	require.NoError(t, c.Close())
--- a/internal/host/httpserver/request.go
+++ b/internal/host/httpserver/request.go
@@ -25,14 +25,26 @@
 
 // Reserve charges n bytes, in addition to what is already charged, to the request with the
 // context ctx until its handler returns. A negative n frees them earlier. It returns a
-// fault.Overloaded error if the budget is exhausted; the request must then have no effect.
+// fault.Overloaded error if the budget is exhausted, and a fault.TooLarge error if it could
+// never hold n bytes; the request must then have no effect.
 func Reserve(ctx context.Context, n int64) error {
+	if err := checkFits(ctx, n); err != nil {
+		return err
+	}
 	if c := connOf(ctx); c != nil && !c.pool.reserve(c, n) {
 		return fault.New(fault.Overloaded, "the host has no memory left for the request", "retry it later")
 	}
 	return nil
 }
 
+// checkFits returns a fault.TooLarge error if the budget could never hold n bytes for a request.
+func checkFits(ctx context.Context, n int64) error {
+	if c := connOf(ctx); c != nil && c.pool != nil && n > c.pool.maxBytes-connectionBytes {
+		return fault.New(fault.TooLarge, "the request needs more memory than the host has for requests", "send a smaller one")
+	}
+	return nil
+}
+
 // Crowded reports whether the requests that are handled take more than half of the memory or
 // the connections of the server with the request of the context ctx. Requests should then
 // not wait for long, since other clients find no room meanwhile.
