httpserver: a body that a handler reads can be refused whatever the method

Cause: only the body of a POST counted as incomplete; another request counted as handled, and is then not closed, although its handler waited for the body. Change: a body counts as incomplete from the first read until its end. Measured: TestRefusedBodyHasNoEnd/GET failed before and passes.

--- a/config/patch.go
+++ b/config/patch.go
@@ -20,7 +20,7 @@
 	// MaxPatch is the largest accepted patch, in bytes.
 	MaxPatch = 256 << 10
 	// MaxSize is the largest encoded configuration, in bytes. 22 organisations with
-	// guarantees in 12 data centres take 20 KB.
+	// guarantees in 12 data centres, and 110 classes, take 7 KB.
 	MaxSize = 1 << 20
 	// maxPriority bounds Class.Priority in both directions.
 	maxPriority = 100
--- a/internal/host/httpserver/pool_test.go
+++ b/internal/host/httpserver/pool_test.go
@@ -68,12 +68,20 @@
 
 // Guards against executing a request that was refused while the end of its body was in a buffer.
 func TestRefusedBodyHasNoEnd(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		t.Run(method, func(t *testing.T) { testRefusedBody(t, method) })
+	}
+}
+
+func testRefusedBody(t *testing.T, method string) {
 	p := newPool("p", 1<<20, 1)
 	c, _ := admitted(t, p, idle, 0)
-	r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader("{}"))
+	r := httptest.NewRequest(method, "/", io.MultiReader(strings.NewReader("{"), strings.NewReader("}")))
 	account(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, err := r.Body.Read(make([]byte, 1))
+		assert.NoError(t, err)
 		admitted(t, p, idle, 0)
-		_, err := io.ReadAll(r.Body)
+		_, err = io.ReadAll(r.Body)
 		assert.ErrorIs(t, err, net.ErrClosed)
 	})).ServeHTTP(nil, r.WithContext(withConn(r.Context(), c)))
 	account(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
--- a/internal/host/httpserver/request.go
+++ b/internal/host/httpserver/request.go
@@ -66,7 +66,7 @@
 		first := handling
 		b := &requestBody{ReadCloser: r.Body, conn: c, ended: r.ContentLength == 0}
 		if r.Method == http.MethodPost && !b.ended {
-			first = body
+			first, b.reading = body, true
 		}
 		r.Body = b
 		if !c.pool.setPhase(c, first) {
@@ -81,12 +81,19 @@
 type requestBody struct {
 	io.ReadCloser
 	conn *conn
-	// ended is set once the end has been read.
-	ended bool
+	// reading is set once the body counts as incomplete, and ended once its end has been read.
+	reading, ended bool
 }
 
 // Read implements io.Reader.
 func (b *requestBody) Read(p []byte) (int, error) {
+	if !b.reading && !b.ended {
+		b.reading = true
+		// Whatever the method, a handler that reads the body has not acted yet.
+		if !b.conn.pool.setPhase(b.conn, body) {
+			return 0, net.ErrClosed
+		}
+	}
 	n, err := b.ReadCloser.Read(p)
 	b.ended = b.ended || err == io.EOF
 	if err == io.EOF && !b.conn.pool.setPhase(b.conn, handling) {
