--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand"
 	"net"
 	"net/http"
 	"strings"
@@ -260,6 +261,20 @@
 	})
 }
 
+// Guards against clients that connect again and again, and fill the queues of connections that
+// are not accepted yet.
+func TestReconnectingClients(t *testing.T) {
+	h := startHost(t, fewDescriptors)
+	end, request := time.Now().Add(unreadTime), requestLine+length(bodyBytes)+"\r\n"+largestBody()[1:]
+	run(h, 400, h.callers, func(c net.Conn, _ int) {
+		for err := error(nil); err == nil && time.Now().Before(end); c, err = net.DialTimeout("tcp", []string{h.callers, h.ready, h.metrics}[rand.Intn(3)], time.Second) {
+			_ = c.SetDeadline(end)
+			_ = write(c, request)
+			_ = c.Close()
+		}
+	})
+}
+
 // Guards against connections without a request that take all descriptors.
 func TestIdleConnections(t *testing.T) {
 	h := startHost(t, fewDescriptors)
