dispatch: bound for the jobs that a host keeps

What callers saw: nothing yet; found by reading. Cause: only queued jobs were counted. Change: kept jobs have 1/8 of the memory at 2 KiB each; one organisation may have half of what the others leave. Ended jobs are not dropped early, since a repeated request would run again. The check of payloads moves beside it.

--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -64,6 +64,10 @@
 	// MaxPayloadBytes bounds the payloads of all open jobs and of those that wait for the
 	// log, in bytes. 0 means no bound.
 	MaxPayloadBytes int64
+	// MaxJobs bounds the jobs that the ledger keeps, open ones and those that ended within
+	// ledger.EndedJobRetention. One organisation may have half of what the others leave. 0
+	// means no bound.
+	MaxJobs int
 	// Policy orders jobs and ranks nodes. The zero value is policy.Cells.
 	Policy policy.Policy
 }
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -52,9 +52,8 @@
 		s.replyError(e.Waiter, fault.New(fault.Overloaded, "too many requests are waiting for the log", "submit it again later"))
 		return
 	}
-	if !s.hasRoomFor(&e.Spec) {
-		s.replyError(e.Waiter, fault.New(fault.Overloaded, "nothing was done: the payloads of open jobs take all memory for them",
-			"submit it again when some have ended, or with a smaller payload"))
+	if err := s.checkRoom(&e.Spec); err != nil {
+		s.replyError(e.Waiter, err)
 		return
 	}
 	id := fmt.Sprintf("%s-%d", s.Incarnation, s.sequence+1)
@@ -62,22 +61,6 @@
 	s.pendingRecords[seq] = pendingRecord{waiter: e.Waiter, deadline: s.now + s.AcceptTimeout, wait: e.Wait}
 }
 
-// largestPayloadShare is the part of the memory that is left for payloads, as a divisor, that
-// one more job may take, so that large jobs leave room for others.
-const largestPayloadShare = 8
-
-// hasRoomFor reports whether there is memory for the payload of one more job.
-func (s *State) hasRoomFor(spec *job.Spec) bool {
-	if s.MaxPayloadBytes == 0 || len(spec.Payload) == 0 {
-		return true
-	}
-	left := s.MaxPayloadBytes - s.Ledger.OpenPayloadBytes()
-	for i := range s.queue {
-		left -= payloadBytes(&s.queue[i].record)
-	}
-	return int64(len(spec.Payload)) <= left/largestPayloadShare
-}
-
 // checkServing returns an error when this host cannot serve requests now.
 func (s *State) checkServing() error {
 	switch {
--- a/entry/host.go
+++ b/entry/host.go
@@ -33,6 +33,11 @@
 	// payloadMemoryShare is the part of the host's memory, as a divisor, that the payloads
 	// of open jobs may take. Encoding a snapshot takes up to twice as much again.
 	payloadMemoryShare = 16
+	// jobMemoryShare is the part of the host's memory, as a divisor, that the jobs may take
+	// beside their payloads, and jobBytes the memory of one, with its key and what the
+	// collector needs: 100,000 ended jobs took 1,125 bytes each.
+	jobMemoryShare = 8
+	jobBytes       = 2 << 10
 	// minPayloadBytes is the least memory for payloads, in bytes: 120 of the largest size,
 	// since one more may take an eighth of what is left.
 	minPayloadBytes = 8 << 20
@@ -239,6 +244,9 @@
 		if h.MaxPayloadBytes == 0 && h.Memory > 0 {
 			h.MaxPayloadBytes = max(minPayloadBytes, h.Memory/payloadMemoryShare)
 		}
+		if h.MaxJobs == 0 {
+			h.MaxJobs = int(h.Memory / jobMemoryShare / jobBytes)
+		}
 		h.tail.maxBytes = h.Memory / tailMemoryShare
 		if h.SnapshotEvery == 0 {
 			h.SnapshotEvery = 5 * time.Minute
--- a/ledger/guarantees.go
+++ b/ledger/guarantees.go
@@ -24,8 +24,9 @@
 // rebuild recomputes all derived fields.
 func (l *Ledger) rebuild() {
 	l.cellTables, l.names, l.open = map[string]*cellTable{}, map[string][]string{}, map[string]*Job{}
-	l.openPayload = 0
+	l.openPayload, l.kept = 0, map[string]int{}
 	for id, j := range l.Jobs {
+		l.kept[j.Spec.Organisation]++
 		if j.State != Finished {
 			l.open[id] = j
 			l.openPayload += int64(len(j.Spec.Payload))
--- a/ledger/jobs.go
+++ b/ledger/jobs.go
@@ -93,6 +93,7 @@
 	}
 	l.Jobs[j.ID], l.open[j.ID] = j, j
 	l.openPayload += int64(len(j.Spec.Payload))
+	l.kept[j.Spec.Organisation]++
 	if a.Spec.Key != "" {
 		l.Keys[RequestKey(a.Spec.Organisation, a.Spec.Key)] = &KeyEntry{Job: j.ID, Digest: digest, Once: a.Spec.AtMostOnce}
 	}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -171,6 +171,8 @@
 	open map[string]*Job
 	// openPayload is the size of the payloads of the jobs in open, in bytes.
 	openPayload int64
+	// kept is derived from Jobs and holds their number by organisation.
+	kept map[string]int
 	// names is derived from Workers and caches the sorted worker names per data
 	// centre.
 	names map[string][]string
@@ -284,7 +286,11 @@
 // kept longer.
 func (l *Ledger) prune() {
 	maps.DeleteFunc(l.Jobs, func(_ string, j *Job) bool {
-		return j.State == Finished && l.Time-j.EndedTime > EndedJobRetention
+		expired := j.State == Finished && l.Time-j.EndedTime > EndedJobRetention
+		if expired {
+			l.kept[j.Spec.Organisation]--
+		}
+		return expired
 	})
 	maps.DeleteFunc(l.Keys, func(_ string, k *KeyEntry) bool {
 		if _, ok := l.Jobs[k.Job]; ok {
@@ -344,6 +350,13 @@
 	return l.openPayload
 }
 
+// KeptJobs returns the number of jobs of an organisation, open and ended ones, and that of all
+// jobs.
+func (l *Ledger) KeptJobs(org string) (own, all int) {
+	l.init()
+	return l.kept[org], len(l.Jobs)
+}
+
 // compareJobs orders jobs by the offset of their acceptance, then by ID.
 func (l *Ledger) compareJobs(a, b *Job) int {
 	if a.AcceptedOffset != b.AcceptedOffset {
