httpserver: a large response has time for each of its parts

What callers saw: nothing yet; found in the review of the change. Cause: the timeout bounded a write of any size. Measured: TestPartsOfResponsesHaveTheirOwnTime failed before, with 1 deadline for 11 parts, and passes.

--- a/internal/host/httpserver/limits.go
+++ b/internal/host/httpserver/limits.go
@@ -28,8 +28,8 @@
 	// timeoutMargin is added to the timeouts, since a lost packet is retransmitted only
 	// after a second.
 	timeoutMargin = time.Second
-	// writeTimeout bounds one write to a client that does not read. An answer fits into
-	// the kernel's buffer, so that only clients with many unread answers reach it.
+	// writeTimeout bounds the time in which a client reads as much as fills the kernel's
+	// buffer. Most answers fit into it, so that only clients that do not read reach it.
 	writeTimeout = 10 * time.Second
 	// readBufferBytes is the size of net/http's read buffer: as much as can be read beyond
 	// the end of a header.
--- a/internal/host/httpserver/listener.go
+++ b/internal/host/httpserver/listener.go
@@ -178,12 +178,23 @@
 	return n, err
 }
 
-// Write implements net.Conn. After a write that fails the connection is reset when it is closed,
-// since the kernel would keep what the client does not read.
-func (c *conn) Write(b []byte) (int, error) {
+// Write implements net.Conn. Each part that fills the kernel's buffer has writeTimeout, so that
+// the time for a large response follows from its size.
+func (c *conn) Write(b []byte) (n int, err error) {
 	if c.pool == nil {
 		return c.Conn.Write(b)
 	}
+	for err == nil && n < len(b) {
+		var k int
+		k, err = c.writePart(b[n:min(len(b), n+sendBufferBytes)])
+		n += k
+	}
+	return n, err
+}
+
+// writePart writes b before writeTimeout. If it fails, the connection is reset when it is closed,
+// since the kernel would keep what the client does not read.
+func (c *conn) writePart(b []byte) (int, error) {
 	if err := c.beginWrite(); err != nil {
 		return 0, err
 	}
--- a/internal/host/httpserver/pool_test.go
+++ b/internal/host/httpserver/pool_test.go
@@ -20,6 +20,8 @@
 	net.Conn
 	written string
 	closed  bool
+	// deadlines counts the deadlines of writes.
+	deadlines int
 }
 
 // Write implements net.Conn.
@@ -35,7 +37,18 @@
 }
 
 // SetWriteDeadline implements net.Conn.
-func (f *fakeConn) SetWriteDeadline(time.Time) error { return nil }
+func (f *fakeConn) SetWriteDeadline(time.Time) error {
+	f.deadlines++
+	return nil
+}
+
+// Guards against cutting a large response to a client that reads slowly.
+func TestPartsOfResponsesHaveTheirOwnTime(t *testing.T) {
+	c, f := admitted(t, newPool("p", 1<<20, 1), handling, 0)
+	n, err := c.Write(make([]byte, 10*sendBufferBytes+1))
+	require.NoError(t, err)
+	assert.Equal(t, []int{10*sendBufferBytes + 1, 11}, []int{n, f.deadlines})
+}
 
 // admitted returns a connection that has been in a phase for age.
 func admitted(t *testing.T, p *Pool, in phase, age time.Duration) (*conn, *fakeConn) {
