crowd: the result of a process is read from its channel

Cause: TestDisturbances/shutdown read the process's state beside the goroutine that waits for it. Change: the result is received, and put back for the clean-up.

--- a/crowd/disturbance_test.go
+++ b/crowd/disturbance_test.go
@@ -52,7 +52,9 @@
 		"shutdown": func(d *deployment, hosts []*host) []*host {
 			require.NoError(d.t, hosts[0].cmd.Process.Signal(syscall.SIGTERM))
 			require.Eventually(d.t, func() bool { return len(hosts[0].exited) > 0 }, patience, 50*time.Millisecond, "the process does not end")
-			require.Equal(d.t, 0, hosts[0].cmd.ProcessState.ExitCode())
+			err := <-hosts[0].exited
+			hosts[0].exited <- err
+			require.NoError(d.t, err)
 			hosts[0].checkBounds()
 			return hosts[1:]
 		},
