httpserver: buffers for receiving are small only with many connections

Change: 64 KiB for receiving; new connections get 16 once their part has a sixteenth of the connections that it may have. As many may wait as the part has 128 KiB. `limpetrelay serve` has the garbage collector's target of `front`.

--- a/cmd/limpetrelay/serve.go
+++ b/cmd/limpetrelay/serve.go
@@ -53,6 +53,7 @@
 // drained.
 func serve(ctx context.Context, s *settings.Settings) error {
 	memory := cmp.Or(s.Limits.MemoryMB<<20, entry.DefaultMemory)
+	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryFraction * float64(memory)))
 	h := &entry.Host{Settings: entry.Settings{
 		Settings: dispatch.Settings{
--- a/internal/host/httpserver/listener.go
+++ b/internal/host/httpserver/listener.go
@@ -95,6 +95,9 @@
 				_ = nc.Close()
 				continue
 			}
+			if c.pool.hasManyConns() {
+				shrinkBuffer(nc)
+			}
 			l.mu.Lock()
 			l.conns[c] = struct{}{}
 			l.mu.Unlock()
--- a/internal/host/httpserver/pool.go
+++ b/internal/host/httpserver/pool.go
@@ -29,6 +29,9 @@
 	// closingShare is the part of the bound, as a divisor, that connections may still take
 	// after they were closed.
 	closingShare = 4
+	// manyConnsShare is the part of the bound, as a divisor, beyond which new connections get
+	// small kernel buffers.
+	manyConnsShare = 16
 	// spareShare is the part of the bound, as a divisor, that is freed in addition when the
 	// bound is met, so that not every client needs a search.
 	spareShare = 64
@@ -114,6 +117,16 @@
 // backlog returns how many connections may wait to be accepted.
 func (p *Pool) backlog() int { return int(max(minBacklog, p.maxBytes/backlogBytes)) }
 
+// hasManyConns reports whether there are so many connections that their kernel buffers count.
+func (p *Pool) hasManyConns() bool {
+	if p == nil {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return int64(len(p.conns)) > min(p.maxConns, p.maxBytes/connectionBytes)/manyConnsShare
+}
+
 // admit adds a new connection and reports whether there is room for it.
 func (p *Pool) admit(c *conn) bool {
 	if p == nil {
--- a/internal/host/httpserver/socket.go
+++ b/internal/host/httpserver/socket.go
@@ -9,13 +9,14 @@
 
 const (
 	// receiveBufferBytes and sendBufferBytes are the sizes of the kernel's buffers of a
-	// connection, for which it allocates up to twice as much. At a round trip of 20 ms, between
-	// regions, a body arrives at 800 KB a second.
-	receiveBufferBytes = 16 << 10
+	// connection, for which it allocates up to twice as much. A buffer for receiving that is
+	// smaller than a segment, 64 KiB on loopback, delays requests.
+	receiveBufferBytes = 64 << 10
 	sendBufferBytes    = 16 << 10
-	// backlogBytes is the memory of a connection that is not accepted yet: a full buffer, and
-	// as much again for the kernel's own.
-	backlogBytes = 4 * receiveBufferBytes
+	// smallReceiveBufferBytes is the size for receiving once a pool has many connections.
+	smallReceiveBufferBytes = 16 << 10
+	// backlogBytes is the memory of a connection that is not accepted yet.
+	backlogBytes = 2 * receiveBufferBytes
 	// minBacklog is the least number of connections that may wait to be accepted.
 	minBacklog = 16
 )
@@ -48,6 +49,14 @@
 	})
 }
 
+// shrinkBuffer makes the kernel's buffer for receiving small.
+func shrinkBuffer(c net.Conn) {
+	control(c, func(fd int) {
+		// If it fails, the bound of the listener remains.
+		_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, smallReceiveBufferBytes)
+	})
+}
+
 // pending reports whether l has a connection that is established and not accepted.
 func pending(l net.Listener) bool {
 	n := 0
