dispatch: jobs count until their records are read, payloads by organisation

What callers saw: once a crowd had submitted jobs with payloads of 64 KiB one after the other, every other submission got 429 "the payloads of open jobs take all memory for them", whatever its size and organisation, until jobs ended.

Cause: the bound counted the jobs of the ledger and the records in the outbox. A record leaves the outbox when its append is confirmed, and is in the ledger once this host has read it back; in between it counted nowhere. With many submissions at once more was admitted than the bound, and nothing was left of the eighths that keep room for others. Nor did an organisation's payloads have a share: small ones could take the rest.

--- a/dispatch/outbox.go
+++ b/dispatch/outbox.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"slices"
+
 	"github.com/limpetrelay/limpetrelay/fault"
 	"github.com/limpetrelay/limpetrelay/record"
 	"github.com/limpetrelay/limpetrelay/retry"
@@ -16,6 +18,9 @@
 	// inFlight is the number of items at the head of queue that the append in
 	// flight contains.
 	inFlight int
+	// appended holds the records that are in the log and that this host has not read yet, in
+	// the order of their sequence numbers.
+	appended []record.Record
 	// retryAt is the earliest time of the next append.
 	retryAt int64
 	backoff retry.Backoff
@@ -85,6 +90,9 @@
 	n := s.inFlight
 	s.inFlight = 0
 	if a.Err == nil {
+		for _, it := range s.queue[:n] {
+			s.appended = append(s.appended, it.record)
+		}
 		s.queue = s.queue[n:]
 		s.markLogUp()
 		return
@@ -100,6 +108,15 @@
 	}
 }
 
+// dropRead drops the appended records that the ledger contains.
+func (s *State) dropRead() {
+	last, n := s.Ledger.Sequences[s.Incarnation].Last, 0
+	for n < len(s.appended) && s.appended[n].Sequence <= last {
+		n++
+	}
+	s.appended = slices.Delete(s.appended, 0, n)
+}
+
 // markLogUp notes that the log has just answered, and allows the next append at
 // once.
 func (s *State) markLogUp() {
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -150,6 +150,7 @@
 		s.nextExpiry = s.now + expireInterval
 		s.expireWaits()
 	}
+	s.dropRead()
 	s.stepPlacer()
 	s.flushOutbox()
 	s.finishDrain()
--- a/ledger/guarantees.go
+++ b/ledger/guarantees.go
@@ -24,13 +24,14 @@
 // rebuild recomputes all derived fields.
 func (l *Ledger) rebuild() {
 	l.cellTables, l.names, l.open = map[string]*cellTable{}, map[string][]string{}, map[string]*Job{}
-	l.openPayload, l.kept = 0, map[string]int{}
+	l.used, l.usedBy = Usage{}, map[string]Usage{}
 	for id, j := range l.Jobs {
-		l.kept[j.Spec.Organisation]++
+		u := Usage{Jobs: 1}
 		if j.State != Finished {
 			l.open[id] = j
-			l.openPayload += int64(len(j.Spec.Payload))
+			u.PayloadBytes = int64(len(j.Spec.Payload))
 		}
+		l.use(j.Spec.Organisation, u)
 	}
 	// The cell tables are derived from open, which must be complete first.
 	for _, j := range l.open {
--- a/ledger/jobs.go
+++ b/ledger/jobs.go
@@ -92,8 +92,7 @@
 		State: Queued, AcceptedOffset: offset, AcceptedTime: l.Time,
 	}
 	l.Jobs[j.ID], l.open[j.ID] = j, j
-	l.openPayload += int64(len(j.Spec.Payload))
-	l.kept[j.Spec.Organisation]++
+	l.use(j.Spec.Organisation, Usage{Jobs: 1, PayloadBytes: int64(len(j.Spec.Payload))})
 	if a.Spec.Key != "" {
 		l.Keys[RequestKey(a.Spec.Organisation, a.Spec.Key)] = &KeyEntry{Job: j.ID, Digest: digest, Once: a.Spec.AtMostOnce}
 	}
@@ -318,7 +317,7 @@
 // finish ends j with outcome o and stores the outcome with its request key as well.
 func (l *Ledger) finish(offset uint64, j *Job, o job.Outcome) {
 	delete(l.open, j.ID)
-	l.openPayload -= int64(len(j.Spec.Payload))
+	l.use(j.Spec.Organisation, Usage{PayloadBytes: -int64(len(j.Spec.Payload))})
 	// Only a run needs the payload; a repeated request is compared by its digest.
 	j.Spec.Payload = nil
 	j.State, j.Outcome, j.EndedOffset, j.EndedTime = Finished, o, offset, l.Time
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -169,10 +169,9 @@
 
 	// open is derived from Jobs and holds the jobs without an outcome.
 	open map[string]*Job
-	// openPayload is the size of the payloads of the jobs in open, in bytes.
-	openPayload int64
-	// kept is derived from Jobs and holds their number by organisation.
-	kept map[string]int
+	// used is derived from Jobs, and usedBy as well, by organisation.
+	used   Usage
+	usedBy map[string]Usage
 	// names is derived from Workers and caches the sorted worker names per data
 	// centre.
 	names map[string][]string
@@ -288,7 +287,7 @@
 	maps.DeleteFunc(l.Jobs, func(_ string, j *Job) bool {
 		expired := j.State == Finished && l.Time-j.EndedTime > EndedJobRetention
 		if expired {
-			l.kept[j.Spec.Organisation]--
+			l.use(j.Spec.Organisation, Usage{Jobs: -1})
 		}
 		return expired
 	})
@@ -344,17 +343,26 @@
 	return l.open
 }
 
-// OpenPayloadBytes returns the size of the payloads of all jobs without an outcome, in bytes.
-func (l *Ledger) OpenPayloadBytes() int64 {
-	l.init()
-	return l.openPayload
+// Usage is the memory that jobs take.
+type Usage struct {
+	// Jobs is the number of jobs, open and ended ones.
+	Jobs int
+	// PayloadBytes is the size of the payloads of the open ones, in bytes.
+	PayloadBytes int64
 }
 
-// KeptJobs returns the number of jobs of an organisation, open and ended ones, and that of all
-// jobs.
-func (l *Ledger) KeptJobs(org string) (own, all int) {
+// Add returns the sum of u and v.
+func (u Usage) Add(v Usage) Usage { return Usage{u.Jobs + v.Jobs, u.PayloadBytes + v.PayloadBytes} }
+
+// Usage returns what the jobs of an organisation take, and what all jobs take.
+func (l *Ledger) Usage(org string) (own, all Usage) {
 	l.init()
-	return l.kept[org], len(l.Jobs)
+	return l.usedBy[org], l.used
+}
+
+// use adds u to what the jobs of an organisation take.
+func (l *Ledger) use(org string, u Usage) {
+	l.used, l.usedBy[org] = l.used.Add(u), l.usedBy[org].Add(u)
 }
 
 // compareJobs orders jobs by the offset of their acceptance, then by ID.
