crowd, dispatch: less code for the same checks, sizes of records computed once

Change: one function for a GET request, a list of /proc/net/tcp read with one format, the table of TestServe without a named type; an item of the outbox holds the size of what its caller chose. No check or bound differs.

--- a/crowd/disturbance_test.go
+++ b/crowd/disturbance_test.go
@@ -2,9 +2,8 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
-	"net/http"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -36,12 +35,8 @@
 
 // leads reports whether the host is the coordinator.
 func (h *host) leads() bool {
-	res, err := (&http.Client{Timeout: time.Second}).Get("http://" + h.metrics + "/")
-	if err != nil {
-		return false
-	}
-	b, err := io.ReadAll(res.Body)
-	return res.Body.Close() == nil && err == nil && strings.Contains(string(b), `"leading":{"value":1}`)
+	_, text := get("http://" + h.metrics + "/")
+	return strings.Contains(text, `"leading":{"value":1}`)
 }
 
 // Guards against crowds at all addresses of several hosts at once, while one of them shuts down,
@@ -73,15 +68,9 @@
 			d := newDeployment(t)
 			hosts := []*host{d.start(1, smallMemoryMB, smallDescriptors), d.start(2, smallMemoryMB, smallDescriptors), d.start(3, smallMemoryMB, smallDescriptors)}
 			// The first of the list is the coordinator.
-			require.Eventually(t, func() bool {
-				for i, h := range hosts {
-					if h.leads() {
-						hosts[0], hosts[i] = h, hosts[0]
-						return true
-					}
-				}
-				return false
-			}, 20*time.Second, 100*time.Millisecond, "no host is the coordinator")
+			var i int
+			require.Eventually(t, func() bool { i = slices.IndexFunc(hosts, (*host).leads); return i >= 0 }, 20*time.Second, 100*time.Millisecond, "no host is the coordinator")
+			hosts[0], hosts[i] = hosts[i], hosts[0]
 			hosts[0].addJob(jobID, jobBody, 10)
 			address := func(i int) string {
 				h := hosts[i%3]
--- a/crowd/host_test.go
+++ b/crowd/host_test.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -49,8 +50,6 @@
 	memoryMB = 128
 	// reservedDescriptors is the part of limits.max_fds that is reserved for files.
 	reservedDescriptors = 200
-	// listening is the state of a listening socket in /proc/net/tcp.
-	listening = "0A"
 	// hostName is the name that the requests state.
 	hostName    = "crowd.example"
 	bodyBytes   = 262_144
@@ -210,27 +209,34 @@
 	require.NoError(t, err)
 	var sum int64
 	for line := range strings.Lines(string(table)) {
-		// The fields are the number, the local and the remote address, the state, and the sizes of
-		// the queues for sending and for receiving.
-		f := strings.Fields(line)
-		if !strings.HasPrefix(f[1], own) || f[3] == listening {
-			continue
-		}
-		for _, q := range strings.Split(f[4], ":") {
-			n, err := strconv.ParseInt(q, 16, 64)
+		// The fields are the number, the local and the remote address, the state, 0A for a
+		// listening socket, and the sizes of the queues for sending and for receiving.
+		if f := strings.Fields(line); strings.HasPrefix(f[1], own) && f[3] != "0A" {
+			var sent, received int64
+			_, err := fmt.Sscanf(f[4], "%x:%x", &sent, &received)
 			require.NoError(t, err)
-			sum += n
+			sum += sent + received
 		}
 	}
 	return sum
 }
 
 func (h *host) isReady() bool {
-	res, err := (&http.Client{Timeout: time.Second}).Get("http://" + h.ready + h.readyPath)
+	status, _ := get("http://" + h.ready + h.readyPath)
+	return status == http.StatusOK
+}
+
+// get returns the status and the text of a response, or 0 if there is none.
+func get(url string) (int, string) {
+	res, err := (&http.Client{Timeout: time.Second}).Get(url)
 	if err != nil {
-		return false
+		return 0, ""
+	}
+	b, err := io.ReadAll(res.Body)
+	if res.Body.Close() != nil || err != nil {
+		return 0, ""
 	}
-	return res.Body.Close() == nil && res.StatusCode == http.StatusOK
+	return res.StatusCode, string(b)
 }
 
 // post sends a request and reports whether it was served.
--- a/crowd/serve_test.go
+++ b/crowd/serve_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/gzip"
 	"encoding/base64"
+	"errors"
 	"fmt"
 	"math/rand"
 	"net"
@@ -63,13 +64,6 @@
 	serveBodyBytes, messageBytes = 140_000, 4 << 20
 )
 
-// serveCrowd is a crowd at a host that runs `limpetrelay serve`.
-type serveCrowd struct {
-	clients, descriptors int
-	atPeers              bool
-	send                 func(c net.Conn, i int)
-}
-
 // short returns a function that sends a request whose body of n bytes stops before its end,
 // save for every eighth client. format formats each part of the body.
 func short(line, header string, n, part int, format func(string) string) func(net.Conn, int) {
@@ -140,15 +134,18 @@
 	var compressed bytes.Buffer
 	z := gzip.NewWriter(&compressed)
 	_, err = z.Write(make([]byte, messageBytes))
-	require.NoError(t, err)
-	require.NoError(t, z.Close())
+	require.NoError(t, errors.Join(err, z.Close()))
 	emptyChanges := `{"base":1,"author":"op","changes":[{}` + strings.Repeat(",{}", 80_000) + "]}"
 	largeJob := func(wait int, payload func(int) string) func(int) string {
 		return func(i int) string { return serveJob("crew", fmt.Sprint("large-", i), wait, payload(i)) }
 	}
 	longJob := serveJob("crew", "long", 600_000, `{"run":600000}`)
 	fetch, longPoll := strings.Replace(peerRequest, "tail", "fetch", 1), peerRequest+length(len(poll))+"\r\n"+poll
-	for name, x := range map[string]serveCrowd{
+	for name, x := range map[string]struct {
+		clients, descriptors int
+		atPeers              bool
+		send                 func(c net.Conn, i int)
+	}{
 		"headers":           {800, descriptors, false, repeated(serveRequest, headerLine)},
 		"peerHeaders":       {800, descriptors, true, repeated(peerRequest, headerLine)},
 		"emptyLines":        {800, descriptors, false, emptyLines},
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -4,7 +4,6 @@
 	"github.com/limpetrelay/limpetrelay/fault"
 	"github.com/limpetrelay/limpetrelay/job"
 	"github.com/limpetrelay/limpetrelay/ledger"
-	"github.com/limpetrelay/limpetrelay/record"
 )
 
 const (
@@ -42,21 +41,17 @@
 // the ledger does not contain yet.
 func (s *State) usage(org string) (own, all ledger.Usage) {
 	own, all = s.Ledger.Usage(org)
-	add := func(r *record.Record) {
-		u := ledger.Usage{PayloadBytes: payloadBytes(r)}
-		if r.Accept != nil {
-			u.Jobs = 1
+	for _, items := range [][]outboxItem{s.appended, s.queue} {
+		for i := range items {
+			u, accept := ledger.Usage{PayloadBytes: items[i].payload}, items[i].record.Accept
+			if accept != nil {
+				u.Jobs = 1
+			}
+			all = all.Add(u)
+			if accept != nil && accept.Spec.Organisation == org {
+				own = own.Add(u)
+			}
 		}
-		all = all.Add(u)
-		if r.Accept != nil && r.Accept.Spec.Organisation == org {
-			own = own.Add(u)
-		}
-	}
-	for i := range s.appended {
-		add(&s.appended[i])
-	}
-	for i := range s.queue {
-		add(&s.queue[i].record)
 	}
 	return own, all
 }
--- a/dispatch/outbox.go
+++ b/dispatch/outbox.go
@@ -18,9 +18,9 @@
 	// inFlight is the number of items at the head of queue that the append in
 	// flight contains.
 	inFlight int
-	// appended holds the records that are in the log and that this host has not read yet, in
+	// appended holds the items that are in the log and that this host has not read yet, in
 	// the order of their sequence numbers.
-	appended []record.Record
+	appended []outboxItem
 	// retryAt is the earliest time of the next append.
 	retryAt int64
 	backoff retry.Backoff
@@ -34,6 +34,8 @@
 // outboxItem is a record in the outbox.
 type outboxItem struct {
 	record record.Record
+	// payload is the size of the part of the record that a caller chose, in bytes.
+	payload int64
 	// mayBeApplied is set when an append with an unknown result contained the
 	// record.
 	mayBeApplied bool
@@ -59,7 +61,7 @@
 	a := &Append{}
 	var payload int64
 	for i := range s.queue[:min(len(s.queue), s.BatchRecords)] {
-		payload += payloadBytes(&s.queue[i].record)
+		payload += s.queue[i].payload
 		if i > 0 && payload > maxBatchPayload {
 			break
 		}
@@ -90,9 +92,7 @@
 	n := s.inFlight
 	s.inFlight = 0
 	if a.Err == nil {
-		for _, it := range s.queue[:n] {
-			s.appended = append(s.appended, it.record)
-		}
+		s.appended = append(s.appended, s.queue[:n]...)
 		s.queue = s.queue[n:]
 		s.markLogUp()
 		return
@@ -111,7 +111,7 @@
 // dropRead drops the appended records that the ledger contains.
 func (s *State) dropRead() {
 	last, n := s.Ledger.Sequences[s.Incarnation].Last, 0
-	for n < len(s.appended) && s.appended[n].Sequence <= last {
+	for n < len(s.appended) && s.appended[n].record.Sequence <= last {
 		n++
 	}
 	s.appended = slices.Delete(s.appended, 0, n)
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -302,6 +302,6 @@
 func (s *State) enqueueRecord(r record.Record) uint64 {
 	s.sequence++
 	r.Host, r.Incarnation, r.Sequence, r.At = s.Host, s.Incarnation, s.sequence, s.wall
-	s.queue = append(s.queue, outboxItem{record: r})
+	s.queue = append(s.queue, outboxItem{record: r, payload: payloadBytes(&r)})
 	return s.sequence
 }
