ledger: bound for the learned run times

Change: beyond 4,096 entries only configured classes are added. Measured: TestRunStatsAreBounded failed before (4,107 entries instead of 4,097) and passes.

--- a/ledger/jobs.go
+++ b/ledger/jobs.go
@@ -349,13 +349,17 @@
 }
 
 // runStats returns the run statistics of j's organisation and class, creating them
-// if necessary.
+// if necessary. Beyond MaxRunStats those of a class without a configuration are not kept.
 func (l *Ledger) runStats(j *Job) *RunStats {
 	k := RunStatsKey(j.Spec.Organisation, j.Spec.Class)
-	if l.RunStats[k] == nil {
-		l.RunStats[k] = &RunStats{}
+	if s := l.RunStats[k]; s != nil {
+		return s
 	}
-	return l.RunStats[k]
+	s := &RunStats{}
+	if _, configured := l.Config.Classes[j.Spec.Class]; configured || len(l.RunStats) < MaxRunStats {
+		l.RunStats[k] = s
+	}
+	return s
 }
 
 // maxFailedJobs is the maximum length of Worker.FailedJobs.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -25,6 +25,9 @@
 	MaxHistory = 256
 	// MaxHistoryBytes bounds the patches in Ledger.History, in bytes.
 	MaxHistoryBytes = 1 << 20
+	// MaxRunStats is the number of entries in Ledger.RunStats beyond which only configured
+	// classes are added: callers choose the names of classes, and no entry is ever deleted.
+	MaxRunStats = 4096
 	// maxTimeStep is the maximum advance of the log time by one record, in
 	// milliseconds, so that a host with a wrong clock cannot expire everything at
 	// once.
--- a/ledger/runstats_test.go
+++ b/ledger/runstats_test.go
@@ -1,9 +1,13 @@
 package ledger
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/limpetrelay/limpetrelay/config"
+	"github.com/limpetrelay/limpetrelay/job"
 )
 
 func TestKeeps(t *testing.T) {
@@ -27,3 +31,15 @@
 		require.Less(t, r.Stops, uint32(halvingThreshold))
 	}
 }
+
+// Guards against callers that fill the memory with the names of classes.
+func TestRunStatsAreBounded(t *testing.T) {
+	l := Ledger{Config: config.Config{Classes: map[string]config.Class{"configured": {}}}}
+	l.init()
+	for i := range MaxRunStats + 10 {
+		l.runStats(&Job{Spec: job.Spec{Organisation: "o", Class: fmt.Sprint(i)}})
+	}
+	l.runStats(&Job{Spec: job.Spec{Organisation: "o", Class: "configured"}}).AddRunTime(1)
+	require.Len(t, l.RunStats, MaxRunStats+1)
+	require.EqualValues(t, 1, l.RunStats[RunStatsKey("o", "configured")].Count)
+}
