httpserver, entry: small buffers from the listener, room for payloads, least memory

What callers saw: 1,000 clients that read nothing took `limpetrelay serve` to 114 of 128 MB with what the kernel held, 65 MB in queues at 690 connections; with limits.memoryMB = 64, which was allowed, to 106 MB. Cause: a connection got the small buffer for receiving only after it was accepted. By then it has advertised the listener's 64 KiB, and a window never shrinks. 64 MB are less than the process, the least budget and the kernel's part together. Change: the listener has the small buffer while its part has many connections. limits.memoryMB is 128 or more. Payloads of open jobs have at least 16 MB instead of 8, so that one organisation keeps 8.

--- a/entry/host.go
+++ b/entry/host.go
@@ -38,9 +38,9 @@
 	// collector needs: 100,000 ended jobs took 1,125 bytes each.
 	jobMemoryShare = 8
 	jobBytes       = 2 << 10
-	// minPayloadBytes is the least memory for payloads, in bytes: 120 of the largest size,
-	// since one more may take an eighth of what is left.
-	minPayloadBytes = 8 << 20
+	// minPayloadBytes is the least memory for payloads, in bytes: 128 of the largest size for
+	// one organisation.
+	minPayloadBytes = 16 << 20
 )
 
 // Dependencies are the services that a Host calls, and its clock. All but Clock
--- a/internal/host/httpserver/listener.go
+++ b/internal/host/httpserver/listener.go
@@ -34,6 +34,8 @@
 	// ended is set once no further connection will be accepted.
 	ended bool
 	conns map[*conn]struct{}
+	// small is set while new connections get a small buffer for receiving.
+	small bool
 }
 
 func newListener(l net.Listener, pool *Pool) *listener {
@@ -95,12 +97,7 @@
 				_ = nc.Close()
 				continue
 			}
-			if c.pool.hasManyConns() {
-				shrinkBuffer(nc)
-			}
-			l.mu.Lock()
-			l.conns[c] = struct{}{}
-			l.mu.Unlock()
+			l.add(c)
 			return c, nil
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -142,6 +139,22 @@
 	return l.ended && len(l.conns) == 0
 }
 
+// add adds an accepted connection. Later ones get the buffer for receiving that fits the number
+// of connections: they advertise it while they are established and never less afterwards.
+func (l *listener) add(c *conn) {
+	small := c.pool.hasManyConns()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[c] = struct{}{}
+	if small {
+		setReceiveBuffer(c.Conn, smallReceiveBufferBytes)
+	}
+	if small != l.small {
+		l.small = small
+		setReceiveBuffer(l.Listener, map[bool]int{false: receiveBufferBytes, true: smallReceiveBufferBytes}[small])
+	}
+}
+
 // remove removes a connection.
 func (l *listener) remove(c *conn) {
 	l.mu.Lock()
--- a/internal/host/httpserver/socket.go
+++ b/internal/host/httpserver/socket.go
@@ -39,9 +39,9 @@
 // memory: their buffers, which they inherit from l and which otherwise grow to several
 // megabytes, and the connections that are not accepted yet, otherwise up to 4,096.
 func boundKernelMemory(l net.Listener, pool *Pool) {
+	setReceiveBuffer(l, receiveBufferBytes)
 	control(l, func(fd int) {
 		// If a call fails, the bounds of the system remain.
-		_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
 		_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, sendBufferBytes)
 		if pool != nil {
 			_ = unix.Listen(fd, pool.backlog())
@@ -49,11 +49,12 @@
 	})
 }
 
-// shrinkBuffer makes the kernel's buffer for receiving small.
-func shrinkBuffer(c net.Conn) {
-	control(c, func(fd int) {
-		// If it fails, the bound of the listener remains.
-		_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, smallReceiveBufferBytes)
+// setReceiveBuffer sets the size of the kernel's buffer for receiving of a connection, or of those
+// that a listener will accept.
+func setReceiveBuffer(s any, n int) {
+	control(s, func(fd int) {
+		// If it fails, the former size remains.
+		_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, n)
 	})
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -237,8 +237,8 @@
 		key          string
 		v, low, high int64
 	}{
-		// The process takes up to 45 MB without clients.
-		{"memoryMB", s.Limits.MemoryMB, 64, 1 << 20},
+		// 45 MB without clients, their least budget, jobs, and what the kernel holds for connections.
+		{"memoryMB", s.Limits.MemoryMB, 128, 1 << 20},
 		// 200 descriptors are reserved for files.
 		{"maxDescriptors", s.Limits.MaxDescriptors, 256, 1 << 20},
 		// net/http refuses headers above 1 MiB by itself.
