--- a/config/patch.go
+++ b/config/patch.go
@@ -143,9 +143,8 @@
 // Apply returns the next version of the configuration, with the changes of p. It
 // returns a Conflict error when p was written against another version than c, an
 // error of Validate when p is malformed, a TooLarge error when the configuration would
-// exceed MaxSize, and a NotFound error when p removes an
-// organisation or class that does not exist or opens a data centre that is not
-// closed. It never changes c.
+// exceed MaxSize, and a NotFound error when p removes an organisation or class that does
+// not exist or opens a data centre that is not closed. It never changes c.
 func (c *Config) Apply(p *Patch) (Config, error) {
 	if p.Base != c.Version {
 		return Config{}, fault.Newf(fault.Conflict,
--- a/internal/host/httpserver/listener.go
+++ b/internal/host/httpserver/listener.go
@@ -120,8 +120,7 @@
 
 // closeIdle makes the server close the connections without a request, unless a request is
 // open on another connection and force is false. With force it also gives up responses that
-// clients do not read. It reports whether the listener has
-// ended and no connection is left.
+// clients do not read. It reports whether the listener has ended and no connection is left.
 func (l *listener) closeIdle(force bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
