--- a/review/harness-3/cases.go
+++ b/review/harness-3/cases.go
@@ -25,7 +25,7 @@
 // promptCancel cancels jobs right after they were accepted: UNASKED is broken if a subtask of one starts
 // later than cancel_ms after the cancelling was acknowledged.
 func promptCancel(log *record, trouble bool) (bool, error) {
-	s, err := newSite(log, 3, 4, func(v int) map[string]any { return configuration(v, tenant("crew", "key-a")) })
+	s, err := newSite(log, memoryMB, func(v int) map[string]any { return configuration(v, tenant("crew", "key-a")) })
 	if s != nil {
 		defer s.close()
 	}
@@ -73,7 +73,7 @@
 	for _, r := range acked {
 		for _, x := range log.startsOf(r.id) {
 			if late := x.at.Sub(r.at); late > cancelBound+slack {
-				log.write("UNASKED: %s started %d ms after the cancelling of its job was acknowledged", x.task, late.Milliseconds())
+				log.writef("UNASKED: %s started %d ms after the cancelling of its job was acknowledged", x.task, late.Milliseconds())
 				broken = true
 			}
 		}
@@ -85,7 +85,7 @@
 // revokedKey takes a key away and then uses it for a call about a private queue's job that goes to a
 // public queue: CONFIG is broken if that runs, later than revoke_timeout_ms after the confirmation.
 func revokedKey(log *record, trouble bool) (bool, error) {
-	s, err := newSite(log, 3, 4, func(v int) map[string]any {
+	s, err := newSite(log, memoryMB, func(v int) map[string]any {
 		return configuration(v, tenant("crew", "key-a", "key-b"), tenant("guild", "key-c"))
 	})
 	if s != nil {
@@ -110,13 +110,13 @@
 	}
 	broken := false
 	if status, text := revoked.call(http.MethodGet, "/public/"+id, nil); trouble && success(status) {
-		log.write("CONFIG: a call with a key that was taken away was told %s of a job of the tenant", text)
+		log.writef("CONFIG: a call with a key that was taken away was told %s of a job of the tenant", text)
 		broken = true
 	}
 	status, _ := revoked.call(http.MethodDelete, "/public/"+id, nil)
 	time.Sleep(time.Second)
 	if _, text := holder.call(http.MethodGet, "/private/"+id, nil); trouble && success(status) && strings.Contains(text, "cancelled") {
-		log.write("CONFIG: a call with a key that was taken away has cancelled a job of the tenant")
+		log.writef("CONFIG: a call with a key that was taken away has cancelled a job of the tenant")
 		broken = true
 	}
 	return broken, nil
@@ -127,7 +127,7 @@
 // 410 later than visible_ms after its confirmation.
 func sharedID(log *record, trouble bool) (bool, error) {
 	config := func(v int) map[string]any { return configuration(v, tenant("crew", "key-a"), tenant("guild", "key-c")) }
-	s, err := newSite(log, 3, 4, config)
+	s, err := newSite(log, memoryMB, config)
 	if s != nil {
 		defer s.close()
 	}
@@ -147,14 +147,14 @@
 	time.Sleep(visibleBound + slack)
 	status, _ := guild.call(http.MethodPost, "/private/"+second, job(5000, 3))
 	if !success(status) {
-		log.write("the second job was refused, which is allowed")
+		log.writef("the second job was refused, which is allowed")
 		return false, nil
 	}
 	time.Sleep(visibleBound + slack)
 	gone := func(c *client, id string) bool {
 		status, _ := c.call(http.MethodGet, "/private/"+id, nil)
 		if status == http.StatusGone {
-			log.write("LOST: job %s of the client with key %q was accepted and is not known", id, c.key)
+			log.writef("LOST: job %s of the client with key %q was accepted and is not known", id, c.key)
 		}
 		return status == http.StatusGone
 	}
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // cases holds the cases by name. A case reports whether its rule was broken.
@@ -13,6 +15,7 @@
 	"prompt-cancel": promptCancel,
 	"revoked-key":   revokedKey,
 	"shared-id":     sharedID,
+	"ended-jobs":    endedJobs,
 }
 
 const (
@@ -37,17 +40,24 @@
 	}
 	defer log.close()
 	trouble := os.Getenv("TROUBLE") != "0"
-	log.write("case %s, disruption %v", name, trouble)
+	log.writef("case %s, disruption %v", name, trouble)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		killHosts()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := cases[name](log, trouble)
 	switch {
 	case err != nil:
-		log.write("the case could not run: %v", err)
+		log.writef("the case could not run: %v", err)
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	case broken:
-		log.write("the rule was broken")
+		log.writef("the rule was broken")
 		return exitBroken
 	}
-	log.write("the rule held")
+	log.writef("the rule held")
 	return exitHeld
 }
--- a/review/harness-3/record.go
+++ b/review/harness-3/record.go
@@ -34,17 +34,16 @@
 	return &record{began: time.Now(), file: f, out: bufio.NewWriter(f)}, nil
 }
 
-// write adds a line.
-func (r *record) write(format string, args ...any) {
+// writef adds a line.
+func (r *record) writef(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.line(format, args...)
+	r.linef(format, args...)
 }
 
-func (r *record) line(format string, args ...any) {
-	fmt.Fprintf(r.out, "%9.3f ", time.Since(r.began).Seconds())
-	fmt.Fprintf(r.out, format, args...)
-	fmt.Fprintln(r.out)
+func (r *record) linef(format string, args ...any) {
+	text := fmt.Sprintf("%9.3f ", time.Since(r.began).Seconds()) + fmt.Sprintf(format, args...)
+	_, _ = r.out.WriteString(text + "\n")
 	_ = r.out.Flush()
 }
 
@@ -53,7 +52,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.starts = append(r.starts, start{at: time.Now(), task: o.task, number: o.run, worker: worker})
-	r.line("worker %s: run %d of %s started, spec %q", worker, o.run, o.task, o.spec)
+	r.linef("worker %s: run %d of %s started, spec %q", worker, o.run, o.task, o.spec)
 }
 
 // startsOf returns the starts of a job's subtasks.
--- a/review/harness-3/site.go
+++ b/review/harness-3/site.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
@@ -28,7 +29,6 @@
 bootstrap=true
 limits.cpu_quota=0.4
 limits.cpu_cores=1
-limits.memory_mb=284
 limits.max_fds=4100
 limits.net_mbps=1000.0
 discovery=platform
@@ -66,6 +66,15 @@
 platform.keep_s=300
 `
 
+// memoryMB is the memory of the entry hosts of the small deployments, in megabytes.
+const memoryMB = 284
+
+// hostCount and workerCount are the sizes of the deployment.
+const (
+	hostCount   = 3
+	workerCount = 4
+)
+
 // site is a small deployment: a store, workers and entry hosts, all on loopback.
 type site struct {
 	log     *record
@@ -75,22 +84,24 @@
 	hosts   []*host
 	stop    chan struct{}
 	version int
+	// memory is that of each host, in megabytes.
+	memory int
 }
 
 // host is a process of the program under review.
 type host struct {
 	name, settings, callers, ready string
 	cmd                            *exec.Cmd
-	exited                         chan error
+	exited                         chan struct{}
 }
 
 // newSite starts a deployment whose first configuration is config.
-func newSite(log *record, hosts, workers int, config func(version int) map[string]any) (*site, error) {
+func newSite(log *record, memory int, config func(version int) map[string]any) (*site, error) {
 	dir, err := os.MkdirTemp("", "review-3-")
 	if err != nil {
 		return nil, err
 	}
-	s := &site{log: log, dir: dir, store: &emulator.Store{}, stop: make(chan struct{})}
+	s := &site{log: log, dir: dir, memory: memory, store: &emulator.Store{}, stop: make(chan struct{})}
 	s.publish(config)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -98,14 +109,14 @@
 	}
 	server := &http.Server{Handler: s.store.Handler(), ReadHeaderTimeout: longestWait}
 	go func() { _ = server.Serve(l) }()
-	for i := range workers {
+	for i := range workerCount {
 		w := newWorker(fmt.Sprintf("i-%08x", i+1), fmt.Sprintf("r1-%d", i/2), log)
 		s.workers = append(s.workers, w)
 		if err := w.serve(s.store, s.stop); err != nil {
 			return s, err
 		}
 	}
-	for i := range hosts {
+	for i := range hostCount {
 		if err := s.addHost(i, l.Addr().String()); err != nil {
 			return s, err
 		}
@@ -117,7 +128,7 @@
 func (s *site) publish(config func(version int) map[string]any) time.Time {
 	s.version += 3
 	s.store.Put(platform.TopicConfiguration, platform.KeyConfiguration, encode(config(s.version)))
-	s.log.write("operator: configuration %d confirmed", s.version)
+	s.log.writef("operator: configuration %d confirmed", s.version)
 	return time.Now()
 }
 
@@ -143,7 +154,7 @@
 	}
 	h := &host{name: fmt.Sprintf("front-a-%d", n+1), callers: callers, ready: ready}
 	h.settings = filepath.Join(s.dir, h.name+".conf")
-	text := fmt.Sprintf("node=%s\nzone=zone-a\nlisten_addrs.front=%s\nlisten_addrs.ready=%s\nplatform.address=%s\n", h.name, callers, ready, store)
+	text := fmt.Sprintf("node=%s\nzone=zone-a\nlisten_addrs.front=%s\nlisten_addrs.ready=%s\nplatform.address=%s\nlimits.memory_mb=%d\n", h.name, callers, ready, store, s.memory)
 	if err := os.WriteFile(h.settings, []byte(text+bounds), 0o600); err != nil {
 		return err
 	}
@@ -151,6 +162,21 @@
 	return h.start(filepath.Join(s.dir, h.name+".log"))
 }
 
+// processes holds the processes that were started, so that an interrupt ends them.
+var processes struct {
+	sync.Mutex
+	list []*os.Process
+}
+
+// killHosts kills all processes that were started.
+func killHosts() {
+	processes.Lock()
+	defer processes.Unlock()
+	for _, p := range processes.list {
+		_ = p.Kill()
+	}
+}
+
 // start starts the process with the command of the deploy file.
 func (h *host) start(logFile string) error {
 	f, err := os.Create(logFile)
@@ -163,8 +189,14 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	exited := make(chan error, 1)
-	go func() { exited <- cmd.Wait() }()
+	processes.Lock()
+	processes.list = append(processes.list, cmd.Process)
+	processes.Unlock()
+	exited := make(chan struct{})
+	go func() {
+		_ = cmd.Wait()
+		close(exited)
+	}()
 	h.cmd, h.exited = cmd, exited
 	return nil
 }
@@ -187,7 +219,7 @@
 			w.mu.Unlock()
 		}
 		if ready == len(s.hosts) && held == len(s.workers) {
-			s.log.write("all hosts are ready")
+			s.log.writef("all hosts are ready")
 			return nil
 		}
 	}
@@ -211,7 +243,7 @@
 
 // killAll kills all processes at the same time, and starts them again.
 func (s *site) killAll() error {
-	s.log.write("all processes of the system are killed")
+	s.log.writef("all processes of the system are killed")
 	for _, h := range s.hosts {
 		_ = h.cmd.Process.Signal(syscall.SIGKILL)
 	}
@@ -219,7 +251,7 @@
 		<-h.exited
 	}
 	time.Sleep(500 * time.Millisecond)
-	s.log.write("all processes of the system start again")
+	s.log.writef("all processes of the system start again")
 	for _, h := range s.hosts {
 		if err := h.start(h.settings + ".2.log"); err != nil {
 			return err
@@ -260,12 +292,12 @@
 
 // call makes a call and records it.
 func (c *client) call(method, path string, body []byte) (status int, text string) {
-	c.log.write("client: %s %s with key %q to %s: sent", method, path, c.key, c.host.name)
+	c.log.writef("client: %s %s with key %q to %s: sent", method, path, c.key, c.host.name)
 	status, text, err := call(method, c.host.callers, path, "site.example", c.key, body)
 	if err != nil {
 		text = err.Error()
 	}
-	c.log.write("client: %s %s with key %q to %s: answered %d %s", method, path, c.key, c.host.name, status, text)
+	c.log.writef("client: %s %s with key %q to %s: answered %d %s", method, path, c.key, c.host.name, status, text)
 	return status, text
 }
 
--- a/review/harness-3/worker.go
+++ b/review/harness-3/worker.go
@@ -26,11 +26,10 @@
 
 // run is one run of a subtask on a worker.
 type run struct {
-	task     string
-	number   int
-	began    time.Time
-	takes    time.Duration
-	stopping bool
+	task   string
+	number int
+	began  time.Time
+	takes  time.Duration
 }
 
 // end is an ended run that was not acknowledged.
@@ -135,7 +134,7 @@
 	delete(w.running, r.task)
 	w.lastEnd++
 	w.ends = append(w.ends, end{w.lastEnd, r, how})
-	w.log.write("worker %s: run %d of %s ended: %s", w.id, r.number, r.task, how)
+	w.log.writef("worker %s: run %d of %s ended: %s", w.id, r.number, r.task, how)
 }
 
 // orderBody is an order of any kind.
@@ -176,11 +175,8 @@
 			return
 		}
 		w.mu.Lock()
-		reason := ""
-		var answer map[string]any
-		if o.token < w.token {
-			reason = "fence"
-		} else {
+		answer, reason := map[string]any(nil), "fence"
+		if o.token >= w.token {
 			w.token = o.token
 			answer, reason = do(r, &o)
 		}
@@ -238,7 +234,7 @@
 
 // stop executes a stop order. w.mu must be held.
 func (w *worker) stop(_ *http.Request, o *orderBody) (map[string]any, string) {
-	w.log.write("worker %s: stop of run %d of %s ordered", w.id, o.run, o.task)
+	w.log.writef("worker %s: stop of run %d of %s ordered", w.id, o.run, o.task)
 	w.highest[o.task] = max(w.highest[o.task], o.run)
 	if r := w.running[o.task]; r != nil && r.number <= o.run {
 		w.finish(r, "stopped")
