--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -16,6 +16,7 @@
 	"revoked-key":   revokedKey,
 	"shared-id":     sharedID,
 	"ended-jobs":    endedJobs,
+	"open-jobs":     openJobs,
 }
 
 const (
--- a/review/harness-3/memory.go
+++ b/review/harness-3/memory.go
@@ -17,8 +17,6 @@
 const (
 	// smallMemoryMB is the memory of the smallest entry hosts of the deployments, in megabytes.
 	smallMemoryMB = 144
-	// memoryLimit is limits.memory_mb of the settings, in kilobytes.
-	memoryLimit = smallMemoryMB << 10
 	// denseSteps is the number of steps of a dense job, each of which follows all earlier ones.
 	denseSteps = 256
 	// denseClients hand in dense jobs and cancel them, one after the other each.
@@ -79,7 +77,7 @@
 		for i, h := range s.hosts {
 			kb := residentKB(h.cmd.Process.Pid)
 			peaks[i] = max(peaks[i], kb)
-			if kb <= memoryLimit {
+			if kb <= s.memory<<10 {
 				continue
 			}
 			ends[i]++
@@ -164,12 +162,75 @@
 	wg.Wait()
 	close(stop)
 	<-guarded
+	return judgeEnds(s, ends, peaks), nil
+}
+
+// judgeEnds reports whether so many processes have ended by themselves that it is a fault.
+func judgeEnds(s *site, ends, peaks []int) bool {
 	machines := 0
 	for i, h := range s.hosts {
-		log.writef("%s: %d ends, peak of %d KB, limit %d KB", h.name, ends[i], peaks[i], memoryLimit)
+		s.log.writef("%s: %d ends, peak of %d KB, limit %d KB", h.name, ends[i], peaks[i], s.memory<<10)
 		if ends[i] >= endsPerHost {
 			machines++
 		}
 	}
-	return machines >= hostsWithEnds, nil
+	return machines >= hostsWithEnds
+}
+
+const (
+	// wideJobs is the number of wide jobs that are handed in, and wideTasks that of the subtasks of each.
+	wideJobs, wideTasks = 4000, 4000
+	// wideClients hand them in.
+	wideClients = 8
+	// wideTime is how long the processes are watched after that.
+	wideTime = 60 * time.Second
+)
+
+// openJobs has clients hand in many wide jobs at once: the fault is that processes end by themselves,
+// since they exceed the memory of their machines.
+func openJobs(log *record, trouble bool) (bool, error) {
+	s, err := newSite(log, smallMemoryMB, func(v int) map[string]any { return configuration(v, tenant("crew", "key-a")) })
+	if s != nil {
+		defer s.close()
+	}
+	if err != nil {
+		return false, err
+	}
+	body := encode(map[string]any{"spec": "run-ms:1000", "steps": []any{
+		map[string]any{"count": wideTasks, "cpu": 1000, "mem_mb": 256, "est_ms": 10_000},
+	}})
+	stop, guarded := make(chan struct{}), make(chan struct{})
+	var ends, peaks []int
+	go func() {
+		ends, peaks = s.guardMemory(stop)
+		close(guarded)
+	}()
+	jobs := wideJobs
+	if !trouble {
+		jobs = 3
+	}
+	var wg sync.WaitGroup
+	for k := range wideClients {
+		wg.Go(func() {
+			for n := k; n < jobs; n += wideClients {
+				h := s.hosts[n%len(s.hosts)]
+				path := fmt.Sprintf("/private/%016x", 0xc00000+n)
+				status, _, err := call(http.MethodPost, h.callers, path, "site.example", "key-a", body)
+				log.writef("client: POST %s of %d bytes to %s: answered %d %v", path, len(body), h.name, status, err)
+			}
+		})
+	}
+	wg.Wait()
+	ordinary := &client{site: s, host: s.hosts[0], key: "key-a"}
+	const id = "00000000000b1600"
+	ordinary.call(http.MethodPost, "/private/"+id, job(1000, 1))
+	time.Sleep(wideTime)
+	for _, h := range s.hosts {
+		ordinary.host = h
+		ordinary.call(http.MethodGet, "/private/"+id, nil)
+	}
+	log.writef("an ordinary job has been started %d times since", len(log.startsOf(id)))
+	close(stop)
+	<-guarded
+	return judgeEnds(s, ends, peaks), nil
 }
