--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -17,6 +17,7 @@
 	"shared-id":     sharedID,
 	"ended-jobs":    endedJobs,
 	"open-jobs":     openJobs,
+	"hopeless":      hopeless,
 }
 
 const (
