--- a/review/harness-3/hopeless.go
+++ b/review/harness-3/hopeless.go
@@ -10,7 +10,7 @@
 const (
 	// hopelessJobs is the number of jobs that are handed in and need a label that no worker has, and
 	// ordinaryJobs that of the ordinary ones after them.
-	hopelessJobs, ordinaryJobs = 180, 4
+	hopelessJobs, ordinaryJobs = 220, 4
 	// largeMemoryMB is the memory of the largest entry hosts of the deployments, in megabytes.
 	largeMemoryMB = 536
 	// finishBound is bounds.finish_s, and idleBound how long a job may then have nothing running.
