frontend: a job's own queue and owner decide who may use it

With another organisation's key a living job of a public queue was 410, a repeat of its submission was accepted anew, and so was a submission under a private job's ID; a repeat of a private job's submission by a public path was 200. Cause: the queue of the call's path decided which key was asked for, and an empty organisation, of the caller or the job, was taken for "not restricted". The queue that had accepted the job was not looked at. Change: Configuration.MayUse states the rule by the job's queue and owner, in the configuration in force; authorise and findJob apply it to queries, submissions and cancellations, by whatever path. Callers who may not use a job are told what they are told of a missing one, 410, and 409 for its ID in a submission; 503 while the copies are over 2 s old. Callers with a key of the job's owner keep what they have.

--- a/internal/host/frontend/serve.go
+++ b/internal/host/frontend/serve.go
@@ -57,39 +57,21 @@
 func (h *Host) serve(ctx context.Context, req *Request) (resp Response, org, id string) {
 	// The log needs the job's ID, the last part of the path, even if no route matches.
 	id = req.Path[strings.LastIndexByte(req.Path, '/')+1:]
-	conf := h.config.Load()
-	age := h.now() - h.configVerifiedAt.Load()
-	if conf == nil || age > h.currentRevocationTimeout.Load()-revocationMargin {
-		return notExecuted("the configuration may be out of date"), "", id
-	}
-	route := conf.FindRoute(req.Host, req.Path)
-	if route == nil {
-		if age > maxConfigDenialAge {
-			return notExecuted("the queue is unknown here, but the configuration may be out of date"), "", id
-		}
-		return Response{Outcome: UnknownQueue, Message: "no queue matches this host and path"}, "", id
-	}
-	id = strings.TrimPrefix(req.Path, route.Prefix)
-	org, known := conf.Keys[req.Key]
-	if !known && !route.Public {
-		if age > maxConfigDenialAge {
-			return notExecuted("the key is unknown here, but the configuration may be out of date"), "", id
-		}
-		return Response{Outcome: UnknownKey, Message: "the key is unknown"}, "", id
-	}
+	a, resp, ok := h.authorise(req)
+	org = a.caller.Organisation
 	switch {
-	case id == "" && req.Verb == Query:
-		return h.queueStatus(route), org, id
-	case !req.ValidID(id):
-		return Response{Outcome: Malformed, Message: "a job's ID has 16 hexadecimal digits"}, org, id
+	case !ok:
+		return resp, org, id
+	case a.id == "":
+		return h.queueStatus(a.route), org, id
 	}
 	switch req.Verb {
 	case Submit:
-		return h.submit(ctx, req, conf, route, org, id), org, id
+		return h.submit(ctx, req, &a), org, id
 	case Cancel:
-		return h.cancel(ctx, req, org, id), org, id
+		return h.cancel(ctx, req, &a), org, id
 	default:
-		return h.jobStatus(ctx, req.Timeout, org, id), org, id
+		return h.jobStatus(ctx, req, &a), org, id
 	}
 }
 
@@ -98,35 +80,17 @@
 	return Response{Outcome: NotExecuted, Message: why + "; nothing was done", RetryAfter: retryAfter}
 }
 
-// findJob returns the job with an ID if the organisation may see it, and whether the
-// job table is fresh enough to report a missing job as unknown. A job or a caller
-// without an organisation is not restricted.
-func (h *Host) findJob(org, id string) (j jobstate.Job, found, fresh bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	fresh = h.loaded && h.now()-h.jobsVerifiedAt.Load() <= maxJobDenialAge
-	job := h.table.Jobs[id]
-	if job == nil || job.Spec == nil || job.Spec.Organisation != "" && org != "" && job.Spec.Organisation != org {
-		return jobstate.Job{}, false, fresh
+// jobStatus answers a query for a job.
+func (h *Host) jobStatus(ctx context.Context, req *Request, a *access) Response {
+	l := h.findJob(a)
+	if l.found && !l.State().Ended() {
+		h.awaitEnd(ctx, statusWaitFor(req.Timeout), a.id)
+		l = h.findJob(a)
 	}
-	return *job, true, fresh
-}
-
-// jobStatus answers a query for a job. timeout is how long the caller waits; 0 if it did not say.
-func (h *Host) jobStatus(ctx context.Context, timeout time.Duration, org, id string) Response {
-	j, found, fresh := h.findJob(org, id)
-	switch {
-	case found && !j.State().Ended():
-		ctx, cancel := context.WithTimeout(ctx, statusWaitFor(timeout))
-		defer cancel()
-		j = h.awaitEnd(ctx, org, id, j)
-		return Response{Outcome: StateReported, State: j.State()}
-	case found:
-		return Response{Outcome: StateReported, State: j.State()}
-	case !fresh:
-		return notExecuted("the job is unknown here, but this host's copy may be out of date")
-	}
-	return Response{Outcome: UnknownJob, Message: "there is no such job"}
+	if !l.found {
+		return h.denyJob(req, a, &l)
+	}
+	return Response{Outcome: StateReported, State: l.State()}
 }
 
 // queueStatus answers a query for the number of queued jobs of a queue.
@@ -145,42 +109,50 @@
 	return Response{Outcome: CountReported, Queued: n}
 }
 
-// submit validates a job and records its acceptance. A repeated submission of the same
-// job succeeds without a new record.
-func (h *Host) submit(ctx context.Context, req *Request, conf *queueconfig.Configuration, route *queueconfig.Route, org, id string) Response {
-	s, err := req.Decode(conf.Limits.BodyBytes)
+// decode reads and validates the job of a submission. ok is false if it must not be recorded; resp
+// is then the response.
+func (h *Host) decode(req *Request, maxBytes int) (s jobspec.Spec, resp Response, ok bool) {
+	s, err := req.Decode(maxBytes)
 	if err == nil {
 		err = s.Validate()
 	}
-	if err != nil {
-		switch fault.KindOf(err) {
-		case fault.TooLarge:
-			return Response{Outcome: TooLarge, Message: fault.As(err).Error()}
-		case fault.Overloaded:
-			resp := notExecuted(fault.As(err).Message)
-			resp.Close = true
-			return resp
-		}
-		return Response{Outcome: Malformed, Message: fault.As(err).Error()}
+	if err == nil {
+		return s, Response{}, true
+	}
+	switch fault.KindOf(err) {
+	case fault.TooLarge:
+		resp = Response{Outcome: TooLarge, Message: fault.As(err).Error()}
+	case fault.Overloaded:
+		resp = notExecuted(fault.As(err).Message)
+		resp.Close = true
+	default:
+		resp = Response{Outcome: Malformed, Message: fault.As(err).Error()}
+	}
+	return s, resp, false
+}
+
+// submit validates a job and records its acceptance. A repeated submission of the same
+// job succeeds without a new record.
+func (h *Host) submit(ctx context.Context, req *Request, a *access) Response {
+	s, resp, ok := h.decode(req, a.config.Limits.BodyBytes)
+	if !ok {
+		return resp
 	}
-	s.ID, s.Route, s.Organisation, s.Service = id, route.Name, org, route.Service
+	route := a.route
+	s.ID, s.Route, s.Organisation, s.Service = a.id, route.Name, a.caller.Organisation, route.Service
 	s.Priority, s.MaxAttempts, s.Stretch, s.Slack = route.Priority, route.MaxAttempts, route.Stretch, route.Slack
 	s.AcceptedAt = h.Wall().UnixMilli()
-	j, found, fresh := h.findJob(org, id)
-	if found {
-		same, err := j.Spec.SameRequest(&s)
-		if err != nil {
-			return Response{Outcome: Malformed, Message: err.Error()}
-		}
-		if !same {
-			return Response{Outcome: IDReused, Message: "another job was accepted under this ID; use a new one"}
-		}
-		return Response{Outcome: Recorded, Message: "the job was already accepted"}
+	l := h.findJob(a)
+	switch {
+	case l.hidden:
+		return h.denyID(req, a, &l)
+	case l.found:
+		return h.repeat(a, l.Spec, &s)
 	}
 	if resp, down := h.refuseIfStoreDown(); down {
 		return resp
 	}
-	if fresh {
+	if l.fresh {
 		// In an older copy the acceptance of the job by another host may be missing, and the refusal
 		// would be untrue.
 		if resp, refused := h.refuseIfTooLate(&s); refused {
@@ -197,29 +169,39 @@
 	if !h.admitJob(&s) {
 		return notExecuted("the jobs that have not ended take all memory for jobs")
 	}
-	resp := h.recordAndWait(ctx, req, route.Timeout, rec)
+	resp = h.recordAndWait(ctx, req, route.Timeout, rec)
 	if resp.Outcome == NotExecuted {
-		h.withdrawJob(id)
+		h.withdrawJob(s.ID)
 	}
 	return resp
 }
 
+// repeat answers a submission under the ID of an accepted job that the caller may use.
+func (h *Host) repeat(a *access, accepted, s *jobspec.Spec) Response {
+	same, err := accepted.SameRequest(s)
+	if err != nil {
+		return Response{Outcome: Malformed, Message: err.Error()}
+	}
+	if !same || !a.config.Repeats(a.caller, s.Route, accepted.Route, accepted.Organisation) {
+		return idReused()
+	}
+	return Response{Outcome: Recorded, Message: "the job was already accepted"}
+}
+
 // cancel records the cancellation of a job. It succeeds without a record if the job has
 // ended or is already cancelled.
-func (h *Host) cancel(ctx context.Context, req *Request, org, id string) Response {
-	j, found, fresh := h.findJob(org, id)
+func (h *Host) cancel(ctx context.Context, req *Request, a *access) Response {
+	l := h.findJob(a)
 	switch {
-	case !found && !fresh:
-		return notExecuted("the job is unknown here, but this host's copy may be out of date")
-	case !found:
-		return Response{Outcome: UnknownJob, Message: "there is no such job"}
-	case j.Cancelled || j.State().Ended():
+	case !l.found:
+		return h.denyJob(req, a, &l)
+	case l.Cancelled || l.State().Ended():
 		return Response{Outcome: Recorded, Message: "the job has already ended"}
 	}
 	if resp, down := h.refuseIfStoreDown(); down {
 		return resp
 	}
-	return h.recordAndWait(ctx, req, 0, jobstate.CancelledRecord(id))
+	return h.recordAndWait(ctx, req, 0, jobstate.CancelledRecord(a.id))
 }
 
 // refuseIfStoreDown returns a refusal and true if the store is known not to answer.
--- a/internal/host/frontend/statuswait.go
+++ b/internal/host/frontend/statuswait.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobstate"
 )
 
 // statusWait is how long a query for the state of a job that has not ended waits for the job's end. The end is
@@ -49,17 +47,19 @@
 	return min(statusWait, timeout/4)
 }
 
-// awaitEnd waits for the end of an open job until ctx ends, unless the host is shutting down, and
-// returns the job as it is then. j is the job as it was found before.
-func (h *Host) awaitEnd(ctx context.Context, org, id string, j jobstate.Job) jobstate.Job {
+// awaitEnd waits for the end of a job for up to timeout, unless the job is not open or the host is
+// shutting down.
+func (h *Host) awaitEnd(ctx context.Context, timeout time.Duration, id string) {
 	if h.draining.Load() {
-		return j
+		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	h.mu.Lock()
-	open := h.table.Jobs[id]
-	if open == nil || open.State().Ended() {
+	j := h.table.Jobs[id]
+	if j == nil || j.State().Ended() {
 		h.mu.Unlock()
-		return h.jobOr(org, id, j)
+		return
 	}
 	ended := h.endWaiters.wait(id)
 	h.mu.Unlock()
@@ -67,13 +67,4 @@
 	case <-ended:
 	case <-ctx.Done():
 	}
-	return h.jobOr(org, id, j)
-}
-
-// jobOr returns a job as it is now, or j if it is not known any more.
-func (h *Host) jobOr(org, id string, j jobstate.Job) jobstate.Job {
-	if now, found, _ := h.findJob(org, id); found {
-		return now
-	}
-	return j
 }
--- a/internal/host/frontend/statuswait_test.go
+++ b/internal/host/frontend/statuswait_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobspec"
 	"github.com/limpetrelay/limpetrelay/internal/scheduling/jobstate"
+	"github.com/limpetrelay/limpetrelay/internal/scheduling/queueconfig"
 	"github.com/limpetrelay/limpetrelay/internal/storage/keyedstore"
 )
 
@@ -24,16 +25,19 @@
 // Guards against callers that are told that a job runs right before its end is read, and against
 // memory that is kept for queries of jobs that have ended.
 func TestStatusQueryWaitsForTheEnd(t *testing.T) {
-	now := int64(100_000)
-	h := &Host{Dependencies: Dependencies{Monotonic: func() int64 { return now }}}
-	h.init()
-	h.loaded = true
+	h := newAccessHost(t).Host
+	h.config.Store((&queueconfig.Document{Routes: []queueconfig.Route{{Name: "plans", Host: "q", Prefix: "/plans/", Public: true}}}).Configuration())
+	h.configVerifiedAt.Store(h.now())
+	h.jobsVerifiedAt.Store(h.now())
+	status := func(ctx context.Context, id string) Response {
+		return h.Serve(ctx, &Request{Verb: Query, Host: "q", Path: "/plans/" + id, ValidID: func(string) bool { return true }})
+	}
 	s := &jobspec.Spec{ID: "job", Route: "plans", Organisation: "crew", Steps: []jobspec.Step{{Tasks: 1}}}
 	accepted, err := jobstate.AcceptedRecord(s)
 	require.NoError(t, err)
 	applyRecords(t, h, 0, accepted)
 	answer := make(chan Response, 1)
-	go func() { answer <- h.jobStatus(context.Background(), 0, "crew", "job") }()
+	go func() { answer <- status(context.Background(), "job") }()
 	require.Eventually(t, func() bool {
 		h.mu.Lock()
 		defer h.mu.Unlock()
@@ -45,7 +49,7 @@
 	assert.Equal(t, jobspec.Completed, (<-answer).State)
 	assert.Empty(t, h.endWaiters)
 
-	assert.Equal(t, jobspec.Completed, h.jobStatus(context.Background(), 0, "crew", "job").State)
+	assert.Equal(t, jobspec.Completed, status(context.Background(), "job").State)
 	assert.Empty(t, h.endWaiters, "a query for an ended job does not wait")
 
 	s.ID = "open"
@@ -54,9 +58,9 @@
 	applyRecords(t, h, 5, accepted)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	assert.Equal(t, jobspec.Queued, h.jobStatus(ctx, 0, "crew", "open").State, "the caller has left")
+	assert.Equal(t, jobspec.Queued, status(ctx, "open").State, "the caller has left")
 	h.Drain()
-	assert.Equal(t, jobspec.Queued, h.jobStatus(context.Background(), 0, "crew", "open").State, "the host shuts down")
+	assert.Equal(t, jobspec.Queued, status(context.Background(), "open").State, "the host shuts down")
 	assert.Equal(t, statusWait, statusWaitFor(3*time.Second))
 	assert.Equal(t, 25*time.Millisecond, statusWaitFor(100*time.Millisecond), "the caller waits for less")
 }
