frontend: a query that has waited is answered by the newest configuration

Seen in a test: a caller whose key was taken away or given to another organisation, or whose queue was dropped, moved or turned private while its query waited for the end of a job, was told the state of the job. Change: jobStatus authorises the request again after the wait.

--- a/internal/host/frontend/authorise_test.go
+++ b/internal/host/frontend/authorise_test.go
@@ -194,7 +194,7 @@
 	movedQueue   = &queueconfig.Route{Name: "own", Host: "q", Prefix: "/moved/"}
 )
 
-// accessChange is a change of the configuration between two calls about a job.
+// accessChange is a change of the configuration between two calls about a job, or during one.
 type accessChange struct {
 	name          string
 	before, after *queueconfig.Route
@@ -242,3 +242,27 @@
 		assert.Equal(a.t, c.want, a.calls(c.path+accessID, c.key))
 	})
 }
+
+// Guards against an answer, to a query that has waited for the end of a job, by the configuration of
+// before the wait.
+func TestAccessAfterAWait(t *testing.T) {
+	forAccessChanges(t, func(a *accessHost, c *accessChange, change func()) {
+		outcome := make(chan Outcome, 1)
+		go func() {
+			outcome <- a.Serve(context.Background(), &Request{
+				Verb: Query, Host: "q", Path: c.path + accessID, Key: c.key, ValidID: func(string) bool { return true },
+			}).Outcome
+		}()
+		waits := func() bool {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			return len(a.endWaiters) == 1
+		}
+		require.Eventually(a.t, func() bool { return len(outcome) == 1 || waits() }, time.Second, time.Millisecond)
+		waited := waits()
+		change()
+		if got := <-outcome; waited {
+			assert.Equal(a.t, c.want[0], got)
+		}
+	})
+}
--- a/internal/host/frontend/serve.go
+++ b/internal/host/frontend/serve.go
@@ -85,7 +85,12 @@
 	l := h.findJob(a)
 	if l.found && !l.State().Ended() {
 		h.awaitEnd(ctx, statusWaitFor(req.Timeout), a.id)
-		l = h.findJob(a)
+		// Neither the configuration nor the job needs to be the one of before the wait.
+		after, resp, ok := h.authorise(req)
+		if !ok {
+			return resp
+		}
+		a, l = &after, h.findJob(&after)
 	}
 	if !l.found {
 		return h.denyJob(req, a, &l)
