frontend: a submission is checked again once its body has arrived

Seen in a test: a submission whose key was taken away, or whose queue was dropped, moved or turned private while its body arrived, was accepted. A body may take 30 s; a key may work for 5 s after it was taken away. Cause: the configuration was read with the header, and the job was accepted by it when the body was complete. Change: submit authorises the request again after the body.

--- a/internal/host/frontend/authorise.go
+++ b/internal/host/frontend/authorise.go
@@ -22,7 +22,7 @@
 
 // authorise checks a request against the configuration in force. ok is false if the request must not be
 // handled; resp is then the response. What it returns holds for an instant only: a handler that has
-// waited calls it again.
+// waited, for a job or for the caller, calls it again.
 func (h *Host) authorise(req *Request) (a access, resp Response, ok bool) {
 	a.config = h.config.Load()
 	age := h.now() - h.configVerifiedAt.Load()
--- a/internal/host/frontend/authorise_test.go
+++ b/internal/host/frontend/authorise_test.go
@@ -97,11 +97,15 @@
 	a.offset++
 }
 
-// call makes a request. A query waits for a millisecond.
-func (a *accessHost) call(verb Verb, path, key string) Outcome {
+// call makes a request. The body of a submission arrives once arrive, if it is set, has returned. A
+// query waits for a millisecond.
+func (a *accessHost) call(verb Verb, path, key string, arrive func()) Outcome {
 	return a.Serve(context.Background(), &Request{
 		Verb: verb, Host: "q", Path: path, Key: key, Timeout: 4 * time.Millisecond, ValidID: func(s string) bool { return len(s) == 16 },
 		Decode: func(int) (jobspec.Spec, error) {
+			if arrive != nil {
+				arrive()
+			}
 			return testSpec(), nil
 		},
 	}).Outcome
@@ -110,7 +114,7 @@
 // calls returns the outcomes of a query for a job, of the repetition of its submission and of its
 // cancellation.
 func (a *accessHost) calls(path, key string) [3]Outcome {
-	return [3]Outcome{a.call(Query, path, key), a.call(Submit, path, key), a.call(Cancel, path, key)}
+	return [3]Outcome{a.call(Query, path, key, nil), a.call(Submit, path, key, nil), a.call(Cancel, path, key, nil)}
 }
 
 const accessID = "00000000000000aa"
@@ -170,13 +174,13 @@
 			a.accept(accessID, "own", c.owner)
 			for path, want := range map[string][3]Outcome{"/own/": c.byOwn, "/open/": c.byPublic, "/closed/": c.byPrivate} {
 				assert.Equal(t, want, a.calls(path+accessID, c.key), path)
-				missing := a.call(Query, path+"00000000000000bb", c.key)
+				missing := a.call(Query, path+"00000000000000bb", c.key, nil)
 				if want == none {
 					assert.Equal(t, UnknownJob, missing, "a hidden job is answered like a missing one")
 				}
 				a.now.Add(maxConfigDenialAge + 1)
 				if want == ok || want == use {
-					assert.Equal(t, want[0], a.call(Query, path+accessID, c.key), "%s, configuration of 2 s ago", path)
+					assert.Equal(t, want[0], a.call(Query, path+accessID, c.key, nil), "%s, configuration of 2 s ago", path)
 				} else {
 					assert.Equal(t, later, a.calls(path+accessID, c.key), "%s, no denial by a configuration of 2 s ago", path)
 				}
@@ -266,3 +270,21 @@
 		}
 	})
 }
+
+// Guards against a submission that is accepted by the configuration of before its body, which may take
+// 30 s to arrive.
+func TestAccessAfterASlowBody(t *testing.T) {
+	forAccessChanges(t, func(a *accessHost, c *accessChange, change func()) {
+		want := c.want[1]
+		if want == IDReused {
+			want = Recorded // Nobody has used the new ID.
+		}
+		began := false
+		got := a.call(Submit, c.path+"00000000000000dd", c.key, func() { began = true; change() })
+		if !began {
+			return
+		}
+		assert.Equal(a.t, want, got)
+		assert.Equal(a.t, want == Recorded, a.recorded.Load() == 1, "a denied submission leaves no record")
+	})
+}
--- a/internal/host/frontend/serve.go
+++ b/internal/host/frontend/serve.go
@@ -143,6 +143,13 @@
 	if !ok {
 		return resp
 	}
+	// The body may have taken longer to arrive than a change of the configuration may take to come
+	// into force.
+	after, resp, ok := h.authorise(req)
+	if !ok {
+		return resp
+	}
+	a = &after
 	route := a.route
 	s.ID, s.Route, s.Organisation, s.Service = a.id, route.Name, a.caller.Organisation, route.Service
 	s.Priority, s.MaxAttempts, s.Stretch, s.Slack = route.Priority, route.MaxAttempts, route.Stretch, route.Slack
