soak: callers try jobs of others by the path of a public queue

Change: a quarter of the queries are followed by a query or a cancellation by a public path: with no key, an unknown one or one of the other organisation, which must not succeed, or with the job's own, which must find the job unless it was revoked.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -180,6 +180,8 @@
 				"max_attempts": 4, "stretch_factor": 3, "slo_ms": 1200, "timeout_ms": 3000},
 			{"name": "batch", "host": "soak.example", "path_prefix": "/batch/", "service": "service", "priority": 2,
 				"max_attempts": 4, "stretch_factor": 3, "slo_ms": 500, "timeout_ms": 3000},
+			{"name": "open", "host": "soak.example", "path_prefix": publicPrefix, "service": "service", "priority": 2, "public": true,
+				"max_attempts": 4, "stretch_factor": 3, "slo_ms": 500, "timeout_ms": 3000},
 			{"name": fmt.Sprint("idle", c.version), "host": "idle.example", "path_prefix": "/", "service": "service",
 				"max_attempts": 4, "stretch_factor": 3, "slo_ms": 500, "timeout_ms": 3000},
 		},
--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -25,6 +25,8 @@
 	// settleTimeout is the time within which each job must end once all faults are
 	// over.
 	settleTimeout = 60 * time.Second
+	// publicPrefix is the path of a queue that takes no key. No job is submitted to it.
+	publicPrefix = "/open/"
 	// maxSubmitAttempts is how many times a caller submits a job at most.
 	maxSubmitAttempts = 4
 )
@@ -121,6 +123,33 @@
 			continue
 		}
 		l.checkState(c, r, j)
+		if r.IntN(4) == 0 {
+			l.checkAccess(c, r, j)
+		}
+	}
+}
+
+// checkAccess queries or cancels a job by the path of a public queue. Callers who have no right to
+// the job must not succeed, and those who have must find it.
+func (l *loadGenerator) checkAccess(c *http.Client, r *rand.Rand, j *submittedJob) {
+	other := submittedJob{id: j.id, prefix: publicPrefix, key: j.key}
+	if r.IntN(2) == 0 {
+		// call reports it if the key was revoked and the job is found all the same.
+		status, _ := l.call(c, r, http.MethodGet, &other, "")
+		known := time.Since(j.acceptedAt) > visibilityTimeout && l.cluster.timeSinceRevocation(j.key, time.Now()) == 0
+		if known && status == http.StatusGone {
+			l.violationf("job %s is unknown by the path of another queue", j.id)
+		}
+		return
+	}
+	keys := []string{"", "key-unknown", rivalKey}
+	if j.key == rivalKey {
+		keys[2] = l.cluster.keys[r.IntN(len(l.cluster.keys))]
+	}
+	other.key = keys[r.IntN(len(keys))]
+	method := []string{http.MethodGet, http.MethodDelete}[r.IntN(2)]
+	if status, _ := l.call(c, r, method, &other, ""); status/100 == 2 {
+		l.violationf("%s of job %s with key %q of somebody else succeeded", method, j.id, other.key)
 	}
 }
 
