frontend: a configuration is never younger than its last check says

Seen in a test: a process that was suspended for 10 s right after a request had read the configuration took it for current, and accepted a key that the next version, read on resumption, had taken away. Cause: the time of the last check was read after the configuration, so that it could be that of the next version. Change: it is read first; the configuration is then at least as new. Measured: TestAgeIsThatOfTheConfiguration failed without the change and passes with it.

--- a/internal/host/frontend/authorise.go
+++ b/internal/host/frontend/authorise.go
@@ -24,8 +24,10 @@
 // handled; resp is then the response. What it returns holds for an instant only: a handler that has
 // waited, for a job or for the caller, calls it again.
 func (h *Host) authorise(req *Request) (a access, resp Response, ok bool) {
+	// In this order, config is at least as new as age says, however long the process is suspended.
+	verifiedAt := h.configVerifiedAt.Load()
 	a.config = h.config.Load()
-	age := h.now() - h.configVerifiedAt.Load()
+	age := h.now() - verifiedAt
 	if a.config == nil || age > h.currentRevocationTimeout.Load()-revocationMargin {
 		return a, notExecuted("the configuration may be out of date"), false
 	}
--- a/internal/host/frontend/authorise_test.go
+++ b/internal/host/frontend/authorise_test.go
@@ -54,7 +54,7 @@
 }
 
 // setConfig puts a configuration in force that has the given queue, unless it is nil, and the queues
-// open and closed. crew has the key key-a, if keyA is crew.
+// open and closed. keyA is the organisation that has the key key-a; empty for none.
 func (a *accessHost) setConfig(own *queueconfig.Route, keyA string) {
 	d := queueconfig.Document{
 		Version: a.version() + 1,
@@ -288,3 +288,23 @@
 		assert.Equal(a.t, want == Recorded, a.recorded.Load() == 1, "a denied submission leaves no record")
 	})
 }
+
+// Guards against an old configuration that passes for a current one: a process that was suspended right
+// after it had read the configuration found the age of the next one.
+func TestAgeIsThatOfTheConfiguration(t *testing.T) {
+	a := newAccessHost(t)
+	a.setConfig(privateQueue, "crew")
+	a.accept(accessID, "own", "crew")
+	suspended := false
+	a.Monotonic = func() int64 {
+		if !suspended {
+			suspended = true
+			a.now.Add(10_000)
+			a.setConfig(privateQueue, "")
+		}
+		return a.now.Load()
+	}
+	_, resp, allowed := a.authorise(&Request{Verb: Cancel, Host: "q", Path: "/own/" + accessID, Key: "key-a", ValidID: func(string) bool { return true }})
+	assert.False(t, allowed)
+	assert.Equal(t, NotExecuted, resp.Outcome)
+}
