--- a/internal/host/frontend/doc.go
+++ b/internal/host/frontend/doc.go
@@ -9,6 +9,9 @@
 // partition. Ages are measured on a clock that keeps counting while the host is
 // suspended.
 //
+// Who may use a job is decided by the queue that accepted it and by its owner, not by the
+// path of the request; see queueconfig.Configuration.MayUse.
+//
 // Command `limpetrelay front` runs this host. Package entry has the host that
 // `limpetrelay serve` runs, which uses the log of package logservice instead of the
 // keyed store.
