frontend: the table of who may use a job covers ended jobs

Cause: TestJobAccess called about open jobs only; the summary of an ended one has its queue and owner too. Change: all calls are made again after the end.

--- a/internal/host/frontend/authorise_test.go
+++ b/internal/host/frontend/authorise_test.go
@@ -97,6 +97,17 @@
 	a.offset++
 }
 
+// end adds the end of a job that accept has added.
+func (a *accessHost) end(id, queue, owner string) {
+	a.t.Helper()
+	s := testSpec()
+	s.ID, s.Route, s.Organisation = id, queue, owner
+	rs, err := jobstate.EndedRecords(&s, &jobspec.Progress{State: jobspec.Completed})
+	require.NoError(a.t, err)
+	applyRecords(a.t, a.Host, a.offset, rs...)
+	a.offset += uint64(len(rs))
+}
+
 // call makes a request. The body of a submission arrives once arrive, if it is set, has returned. A
 // query waits for a millisecond.
 func (a *accessHost) call(verb Verb, path, key string, arrive func()) Outcome {
@@ -172,26 +183,35 @@
 			}
 			a.setConfig(own, "crew")
 			a.accept(accessID, "own", c.owner)
-			for path, want := range map[string][3]Outcome{"/own/": c.byOwn, "/open/": c.byPublic, "/closed/": c.byPrivate} {
-				assert.Equal(t, want, a.calls(path+accessID, c.key), path)
-				missing := a.call(Query, path+"00000000000000bb", c.key, nil)
-				if want == none {
-					assert.Equal(t, UnknownJob, missing, "a hidden job is answered like a missing one")
-				}
-				a.now.Add(maxConfigDenialAge + 1)
-				if want == ok || want == use {
-					assert.Equal(t, want[0], a.call(Query, path+accessID, c.key, nil), "%s, configuration of 2 s ago", path)
-				} else {
-					assert.Equal(t, later, a.calls(path+accessID, c.key), "%s, no denial by a configuration of 2 s ago", path)
-				}
-				a.now.Add(a.RevocationTimeout)
-				assert.Equal(t, later, a.calls(path+accessID, c.key), "%s, nothing by a configuration of 7 s ago", path)
-				a.verify()
+			byPath := map[string][3]Outcome{"/own/": c.byOwn, "/open/": c.byPublic, "/closed/": c.byPrivate}
+			for path, want := range byPath {
+				a.checkCalls(path, c.key, want)
+			}
+			a.end(accessID, "own", c.owner)
+			for path, want := range byPath {
+				assert.Equal(t, want, a.calls(path+accessID, c.key), "%s, job has ended", path)
 			}
 		})
 	}
 }
 
+// checkCalls checks the outcomes of calls about the job by a path with copies of three ages.
+func (a *accessHost) checkCalls(path, key string, want [3]Outcome) {
+	assert.Equal(a.t, want, a.calls(path+accessID, key), path)
+	if want == none {
+		assert.Equal(a.t, UnknownJob, a.call(Query, path+"00000000000000bb", key, nil), "a hidden job is answered like a missing one")
+	}
+	a.now.Add(maxConfigDenialAge + 1)
+	if want == ok || want == use {
+		assert.Equal(a.t, want[0], a.call(Query, path+accessID, key, nil), "%s, configuration of 2 s ago", path)
+	} else {
+		assert.Equal(a.t, later, a.calls(path+accessID, key), "%s, no denial by a configuration of 2 s ago", path)
+	}
+	a.now.Add(a.RevocationTimeout)
+	assert.Equal(a.t, later, a.calls(path+accessID, key), "%s, nothing by a configuration of 7 s ago", path)
+	a.verify()
+}
+
 var (
 	privateQueue = &queueconfig.Route{Name: "own", Host: "q", Prefix: "/own/"}
 	publicQueue  = &queueconfig.Route{Name: "own", Host: "q", Prefix: "/own/", Public: true}
